Stand in for the platform, in process and over HTTP

Tests and the development program need the table service, object store, instance list and weight store without the platform. There is one implementation, memplatform, with outage, slowness, lost answers, lost requests and rate limits; standin/platform serves it over HTTP, link/platform/ rest is the client. inproc lets a client call a handler without a socket, so that the real encodings run under testing/synctest.

A write without an answer is ErrUnavailable only when no connection was ever got; a 5xx other than 503, a redirect, a cut or missing answer is ErrLostAnswer. Ruled out: judging by the error's type, since a broken connection looks alike before and after the request was sent.

The suite in platformtest runs against all three.

--- /dev/null
+++ b/internal/standin/memplatform/platform.go
@@ -0,0 +1,30 @@
+// Package memplatform is a stand-in for the platform's services, in memory and
+// in process, with faults that tests and the development program control. The
+// package standin/platform serves the same services over HTTP.
+package memplatform
+
+// Platform is one set of services. The table and the object store fail
+// together, as one store; the others have faults of their own.
+type Platform struct {
+	Table     *Table
+	Objects   *Objects
+	Instances *Instances
+	Weights   *Weights
+
+	// Store controls Table and Objects.
+	Store *Faults
+	// List controls Instances.
+	List *Faults
+	// WeightStore controls Weights.
+	WeightStore *Faults
+}
+
+// New returns empty services without faults, limits or lag.
+func New() *Platform {
+	p := &Platform{Store: &Faults{}, List: &Faults{}, WeightStore: &Faults{}}
+	p.Table = NewTable(p.Store)
+	p.Objects = NewObjects(p.Store)
+	p.Instances = NewInstances(p.List)
+	p.Weights = NewWeights(p.WeightStore)
+	return p
+}
--- /dev/null
+++ b/internal/standin/memplatform/weights.go
@@ -0,0 +1,78 @@
+package memplatform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+
+	"golang.org/x/time/rate"
+
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+)
+
+// weightPiece is the most that one read of weights gives, in bytes.
+const weightPiece = 64 << 10
+
+// Weights is a store of model weights, all zeros, whose readers share one rate.
+// It implements platform.Weights.
+type Weights struct {
+	faults *Faults
+
+	mu    sync.Mutex
+	sizes map[string]int64
+	limit *rate.Limiter
+}
+
+// NewWeights returns an empty weight store without a rate limit.
+func NewWeights(faults *Faults) *Weights {
+	return &Weights{faults: faults, sizes: make(map[string]int64), limit: rate.NewLimiter(rate.Inf, weightPiece)}
+}
+
+// SetSize adds a model whose weights have a size in bytes.
+func (w *Weights) SetSize(model string, size int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sizes[model] = size
+}
+
+// SetRate limits all readers together, in bytes a second.
+func (w *Weights) SetRate(bytesPerSecond int64) {
+	w.limit.SetLimit(rate.Limit(bytesPerSecond))
+}
+
+// Fetch implements platform.Weights. Reads fail when ctx ends.
+func (w *Weights) Fetch(ctx context.Context, model string) (body io.ReadCloser, err error) {
+	err = w.faults.read(ctx, func() error {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		size, ok := w.sizes[model]
+		if !ok {
+			return fmt.Errorf("%w: weights of %q", platform.ErrNotFound, model)
+		}
+		body = io.NopCloser(&weightReader{ctx: ctx, limit: w.limit, left: size})
+		return nil
+	})
+	return body, err
+}
+
+// weightReader gives zeros at the store's rate.
+type weightReader struct {
+	ctx   context.Context
+	limit *rate.Limiter
+	left  int64
+}
+
+// Read implements io.Reader.
+func (r *weightReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n := int(min(int64(len(p)), r.left, weightPiece))
+	if err := r.limit.WaitN(r.ctx, n); err != nil {
+		return 0, err
+	}
+	clear(p[:n])
+	r.left -= int64(n)
+	return n, nil
+}
--- /dev/null
+++ b/link/platform/rest/client_test.go
@@ -0,0 +1,86 @@
+package rest_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/inproc"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/memplatform"
+	standin "github.com/trefoilwalk/trefoilwalk/internal/standin/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/platformtest"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
+)
+
+func subject(p *memplatform.Platform, c *rest.Client) platformtest.Subject {
+	return platformtest.Subject{Table: c.Table(), Objects: c.Objects(), Instances: c.Instances(), Weights: c.Weights(), Standin: p}
+}
+
+func TestContractOverLoopback(t *testing.T) {
+	platformtest.Run(t, func(t *testing.T) platformtest.Subject {
+		p := memplatform.New()
+		server := httptest.NewServer(standin.Handler(p))
+		t.Cleanup(server.Close)
+		c := rest.New(server.URL, nil)
+		t.Cleanup(c.Close)
+		return subject(p, c)
+	})
+}
+
+func TestContractInProcess(t *testing.T) {
+	platformtest.Run(t, func(t *testing.T) platformtest.Subject {
+		p := memplatform.New()
+		return subject(p, rest.New("http://platform", inproc.Transport{Handler: standin.Handler(p)}))
+	})
+}
+
+// TestAnswersOfOthers checks what a write says when something other than the
+// service answers, or nothing does.
+func TestAnswersOfOthers(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+		want   error
+	}{
+		{"server failed", status(http.StatusInternalServerError), platform.ErrLostAnswer},
+		{"gateway gave up", status(http.StatusGatewayTimeout), platform.ErrLostAnswer},
+		{"request was wrong", status(http.StatusBadRequest), platform.ErrUnavailable},
+		{"redirect is not followed", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, r.URL.Path, http.StatusTemporaryRedirect)
+		}, platform.ErrLostAnswer},
+		{"connection broken", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, platform.ErrLostAnswer},
+		{"answer cut short", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("{"))
+		}, platform.ErrLostAnswer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.answer)
+			defer server.Close()
+			err := rest.New(server.URL, nil).Table().Commit(t.Context(), platform.Transaction{})
+			if !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := l.Addr().String()
+		l.Close()
+		err = rest.New("http://"+addr, nil).Table().Commit(t.Context(), platform.Transaction{})
+		if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrLostAnswer) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
--- /dev/null
+++ b/link/platform/rest/services.go
@@ -0,0 +1,122 @@
+package rest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+)
+
+type table struct{ c *Client }
+
+// Get implements platform.Table.
+func (t table) Get(ctx context.Context, keys ...string) ([]platform.Row, error) {
+	var reply RowsReply
+	err := t.c.read(ctx, PathGet, GetRequest{Keys: keys}, &reply)
+	return decodeRows(reply.Rows), err
+}
+
+// Scan implements platform.Table.
+func (t table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+	var reply RowsReply
+	err := t.c.read(ctx, PathScan, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &reply)
+	return decodeRows(reply.Rows), err
+}
+
+// Commit implements platform.Table.
+func (t table) Commit(ctx context.Context, tx platform.Transaction) error {
+	body, err := json.Marshal(encodeTransaction(tx))
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	_, err = t.c.exchange(ctx, call{method: http.MethodPost, path: PathCommit, body: body, write: true})
+	return err
+}
+
+// read posts a question and decodes the reply.
+func (c *Client) read(ctx context.Context, path string, question, reply any) error {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return c.decode(ctx, call{method: http.MethodPost, path: path, body: body}, reply)
+}
+
+// decode makes a call that reads and decodes the reply.
+func (c *Client) decode(ctx context.Context, q call, reply any) error {
+	body, err := c.exchange(ctx, q)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, reply); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
+}
+
+type objects struct{ c *Client }
+
+func object(method, name string) call {
+	return call{method: method, path: PathObject, query: url.Values{ParamName: {name}}}
+}
+
+// Put implements platform.Objects.
+func (o objects) Put(ctx context.Context, name string, body []byte) error {
+	q := object(http.MethodPut, name)
+	q.body, q.write = body, true
+	_, err := o.c.exchange(ctx, q)
+	return err
+}
+
+// Get implements platform.Objects.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	return o.c.exchange(ctx, object(http.MethodGet, name))
+}
+
+// Delete implements platform.Objects.
+func (o objects) Delete(ctx context.Context, name string) error {
+	q := object(http.MethodDelete, name)
+	q.write = true
+	_, err := o.c.exchange(ctx, q)
+	return err
+}
+
+// List implements platform.Objects.
+func (o objects) List(ctx context.Context, prefix string) ([]string, error) {
+	var reply NamesReply
+	q := call{method: http.MethodGet, path: PathObjects, query: url.Values{ParamPrefix: {prefix}}}
+	err := o.c.decode(ctx, q, &reply)
+	return reply.Names, err
+}
+
+type instances struct{ c *Client }
+
+// List implements platform.Instances.
+func (i instances) List(ctx context.Context) ([]platform.Listed, error) {
+	var reply InstancesReply
+	if err := i.c.decode(ctx, call{method: http.MethodGet, path: PathInstances}, &reply); err != nil {
+		return nil, err
+	}
+	list := make([]platform.Listed, len(reply.Instances))
+	for n, listed := range reply.Instances {
+		list[n] = listed.decode()
+	}
+	return list, nil
+}
+
+type weights struct{ c *Client }
+
+// Fetch implements platform.Weights. It is not bound by CallTimeout, since
+// weights take long to read.
+func (w weights) Fetch(ctx context.Context, model string) (io.ReadCloser, error) {
+	q := call{method: http.MethodGet, path: PathWeights, query: url.Values{ParamModel: {model}}}
+	resp, err := w.c.send(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	return resp.Body, nil
+}
--- /dev/null
+++ b/link/platform/rest/wire.go
@@ -0,0 +1,168 @@
+package rest
+
+import (
+	"net/http"
+
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Paths of the platform's services.
+const (
+	PathGet       = "/v1/table/get"
+	PathScan      = "/v1/table/scan"
+	PathCommit    = "/v1/table/commit"
+	PathObject    = "/v1/object"
+	PathObjects   = "/v1/objects"
+	PathInstances = "/v1/instances"
+	PathWeights   = "/v1/weights"
+)
+
+// Query parameters.
+const (
+	ParamName   = "name"
+	ParamPrefix = "prefix"
+	ParamModel  = "model"
+)
+
+// GetRequest asks for rows by key.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest asks for rows in order of key.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// RowsReply carries rows.
+type RowsReply struct {
+	Rows []Row `json:"rows"`
+}
+
+// Row is platform.Row in JSON; values are in base64.
+type Row struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version uint64 `json:"version"`
+}
+
+// Condition is platform.Condition in JSON.
+type Condition struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+}
+
+// Write is platform.Write in JSON.
+type Write struct {
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// CommitRequest asks for a transaction.
+type CommitRequest struct {
+	Conditions []Condition `json:"conditions"`
+	Writes     []Write     `json:"writes"`
+}
+
+// NamesReply lists objects.
+type NamesReply struct {
+	Names []string `json:"names"`
+}
+
+// InstancesReply lists instances.
+type InstancesReply struct {
+	Instances []Listed `json:"instances"`
+}
+
+// Listed is platform.Listed in JSON.
+type Listed struct {
+	Name    string `json:"name"`
+	Kind    string `json:"kind"`
+	Addr    string `json:"addr"`
+	Region  string `json:"region"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+}
+
+// ErrorReply is the body of every answer that is not a success.
+type ErrorReply struct {
+	Error string `json:"error"`
+}
+
+// statuses pairs the layer's errors with HTTP statuses. A write whose outcome is
+// not known has none: it gets no answer, or one that is in no row here.
+var statuses = []struct {
+	err    error
+	status int
+}{
+	{platform.ErrConflict, http.StatusConflict},
+	{platform.ErrThrottled, http.StatusTooManyRequests},
+	{platform.ErrNotFound, http.StatusNotFound},
+	{platform.ErrUnavailable, http.StatusServiceUnavailable},
+}
+
+// EncodeRows turns rows into their JSON form.
+func EncodeRows(rows []platform.Row) []Row {
+	out := make([]Row, len(rows))
+	for i, row := range rows {
+		out[i] = Row(row)
+	}
+	return out
+}
+
+func decodeRows(rows []Row) []platform.Row {
+	out := make([]platform.Row, len(rows))
+	for i, row := range rows {
+		out[i] = platform.Row(row)
+	}
+	return out
+}
+
+func encodeTransaction(tx platform.Transaction) CommitRequest {
+	var q CommitRequest
+	for _, c := range tx.Conditions {
+		q.Conditions = append(q.Conditions, Condition(c))
+	}
+	for _, w := range tx.Writes {
+		q.Writes = append(q.Writes, Write(w))
+	}
+	return q
+}
+
+// Transaction gives the transaction that a request asks for.
+func (q CommitRequest) Transaction() platform.Transaction {
+	var tx platform.Transaction
+	for _, c := range q.Conditions {
+		tx.Conditions = append(tx.Conditions, platform.Condition(c))
+	}
+	for _, w := range q.Writes {
+		tx.Writes = append(tx.Writes, platform.Write(w))
+	}
+	return tx
+}
+
+// EncodeListed turns an entry of the list into its JSON form.
+func EncodeListed(l platform.Listed) Listed {
+	return Listed{
+		Name:    l.Name,
+		Kind:    l.Kind,
+		Addr:    l.Addr,
+		Region:  string(l.Place.Region),
+		Zone:    string(l.Place.Zone),
+		Leaving: l.Leaving,
+	}
+}
+
+func (l Listed) decode() platform.Listed {
+	return platform.Listed{
+		Name:    l.Name,
+		Kind:    l.Kind,
+		Addr:    l.Addr,
+		Place:   zone.Place{Region: zone.Region(l.Region), Zone: zone.AvailabilityZone(l.Zone)},
+		Leaving: l.Leaving,
+	}
+}
