--- /dev/null
+++ b/link/upstream/serviceapi/client_test.go
@@ -0,0 +1,149 @@
+package serviceapi_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/inproc"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/link/upstream/serviceapi"
+	"github.com/trefoilwalk/trefoilwalk/link/upstream/upstreamtest"
+)
+
+func newClient(t testing.TB, base string, transport http.RoundTripper) *serviceapi.Client {
+	c, err := serviceapi.New(base, transport)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestContractOverLoopback(t *testing.T) {
+	upstreamtest.RunService(t, func(t *testing.T) (link.Service, *service.Service) {
+		s := service.New(service.Options{})
+		server := httptest.NewServer(s.Handler())
+		t.Cleanup(server.Close)
+		return newClient(t, server.URL, nil), s
+	})
+}
+
+func TestContractInProcess(t *testing.T) {
+	upstreamtest.RunService(t, func(t *testing.T) (link.Service, *service.Service) {
+		s := service.New(service.Options{})
+		return newClient(t, "http://service", inproc.Transport{Handler: s.Handler()}), s
+	})
+}
+
+// TestNotSentOnlyWithoutConnection checks both sides of the line between "not
+// sent" and "may have run".
+func TestNotSentOnlyWithoutConnection(t *testing.T) {
+	cases := []struct {
+		name string
+		// serve handles each connection; nil closes the listener.
+		serve func(c net.Conn)
+		want  error
+	}{
+		{"nobody listens", nil, link.ErrNotSent},
+		{"connection closed at once", func(net.Conn) {}, link.ErrGone},
+		{"closed after the first byte", func(c net.Conn) { _, _ = c.Read(make([]byte, 1)) }, link.ErrGone},
+		{"not HTTP", answerWith("hello\r\n\r\n"), link.ErrGone},
+		{"body cut short", answerWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), link.ErrGone},
+		{"body without an end", answerWith("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"), link.ErrGone},
+		{"chunk cut short", answerWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), link.ErrGone},
+		{"whole", answerWith("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull"), nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var taken atomic.Int32
+			addr := listen(t, &taken, c.serve)
+			for n, method := range []string{http.MethodGet, http.MethodPost} {
+				_, err := newClient(t, "http://"+addr, nil).Call(t.Context(), contract.CallID{Request: "r"}, "", contract.ServiceCall{Method: method, Path: "/"})
+				if !errors.Is(err, c.want) || (c.want == nil && err != nil) {
+					t.Errorf("%s: got %v, want %v", method, err, c.want)
+				}
+				if c.serve != nil && int(taken.Load()) != n+1 {
+					t.Errorf("%s: %d connections for %d calls", method, taken.Load(), n+1)
+				}
+			}
+		})
+	}
+}
+
+func answerWith(text string) func(c net.Conn) {
+	return func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 1<<16))
+		_, _ = c.Write([]byte(text))
+	}
+}
+
+func listen(t *testing.T, taken *atomic.Int32, serve func(c net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	if serve == nil {
+		l.Close()
+		return l.Addr().String()
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			taken.Add(1)
+			serve(c)
+			c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestNoRepeatByTransport sends calls that net/http counts as safe to repeat to
+// a server that closes each connection at its second request.
+func TestNoRepeatByTransport(t *testing.T) {
+	var requests atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1)%2 == 0 {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	c := newClient(t, server.URL, nil)
+	for n := range 10 {
+		_, err := c.Call(t.Context(), contract.CallID{Request: "r"}, "", contract.ServiceCall{Method: http.MethodGet, Path: "/"})
+		if wantErr := n%2 == 1; (err != nil) != wantErr {
+			t.Errorf("call %d: got %v", n, err)
+		}
+	}
+	if got := requests.Load(); got != 10 {
+		t.Errorf("10 calls made %d requests", got)
+	}
+}
+
+// BenchmarkCall compares a connection for each call with connections used again.
+func BenchmarkCall(b *testing.B) {
+	s := service.New(service.Options{})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	kinds := map[string]http.RoundTripper{"new": nil, "kept": &http.Transport{}}
+	for name, transport := range kinds {
+		b.Run("connection="+name, func(b *testing.B) {
+			c := newClient(b, server.URL, transport)
+			call := contract.ServiceCall{Method: http.MethodPost, Path: "/", Body: []byte(strings.Repeat("x", 256))}
+			for b.Loop() {
+				if _, err := c.Call(b.Context(), contract.CallID{Request: "r"}, "a", call); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/link/upstream/upstreamtest/service.go
@@ -0,0 +1,90 @@
+package upstreamtest
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+)
+
+// serviceCase is one fault and what is seen of a call.
+type serviceCase struct {
+	name    string
+	fault   func(s *service.Service)
+	timeout time.Duration
+	want    error
+	status  int
+	ran     int
+}
+
+const slowness = 200 * time.Millisecond
+
+var serviceCases = []serviceCase{
+	{name: "no fault", fault: func(*service.Service) {}, status: http.StatusOK, ran: 1},
+	{name: "answer lost", fault: func(s *service.Service) { s.LoseAnswers(service.Always) }, want: link.ErrGone, ran: 1},
+	{name: "request lost", fault: func(s *service.Service) { s.LoseRequests(service.Always) }, want: link.ErrGone},
+	{name: "down", fault: (*service.Service).Crash, want: link.ErrGone},
+	{name: "refuses", fault: func(s *service.Service) { s.Refuse(http.StatusServiceUnavailable) }, status: http.StatusServiceUnavailable},
+	{name: "redirects", fault: func(s *service.Service) { s.Refuse(http.StatusTemporaryRedirect) }, status: http.StatusTemporaryRedirect},
+	{name: "crashes on the body", fault: func(s *service.Service) { s.CrashOn("7 coils") }, want: link.ErrGone, ran: 1},
+	{name: "slow", fault: func(s *service.Service) { s.SetSlow(slowness) }, status: http.StatusOK, ran: 1},
+	{name: "slower than the caller's patience", timeout: slowness / 4,
+		fault: func(s *service.Service) { s.SetSlow(slowness) }, want: link.ErrGone, ran: 1},
+	{name: "caller gone before", timeout: -1, fault: func(*service.Service) {}, want: link.ErrNotSent},
+}
+
+var methods = []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete}
+
+// RunService runs the suite: each fault with each method, since HTTP clients
+// repeat some of them by themselves. fresh gives a service and its stand-in.
+func RunService(t *testing.T, fresh func(t *testing.T) (link.Service, *service.Service)) {
+	for _, c := range serviceCases {
+		t.Run(c.name, func(t *testing.T) {
+			client, standin := fresh(t)
+			for n, method := range methods {
+				testCall(t, client, standin, c, contract.Attempt(n+1), method)
+			}
+		})
+	}
+}
+
+func testCall(t *testing.T, client link.Service, standin *service.Service, c serviceCase, n contract.Attempt, method string) {
+	t.Helper()
+	standin.Restart()
+	// A call before the fault leaves a connection that a client may use again.
+	check(t, client.Healthy(t.Context()), nil)
+	c.fault(standin)
+	defer clearFaults(standin)
+	ctx, cancel := t.Context(), context.CancelFunc(func() {})
+	if c.timeout != 0 {
+		ctx, cancel = context.WithTimeout(ctx, c.timeout)
+	}
+	defer cancel()
+	q := contract.ServiceCall{Method: method, Path: "/dispatch/ü b", Query: "a=1&b=%20", Body: []byte("7 coils of " + method)}
+	answer, err := client.Call(ctx, id(n), "account-17", q)
+	check(t, err, c.want)
+	if answer.Status != c.status {
+		t.Errorf("%s: got status %d, want %d", method, answer.Status, c.status)
+	}
+	if c.status == http.StatusOK && string(answer.Body) != service.Expected(q) {
+		t.Errorf("%s: got answer %q, want %q", method, answer.Body, service.Expected(q))
+	}
+	if ran := standin.RanCall(id(n).String()); ran != c.ran || standin.RanBody(string(q.Body)) != c.ran {
+		t.Errorf("%s: ran %d times, want %d", method, ran, c.ran)
+	}
+	if c.ran > 0 && !standin.Received.Contains("account-17") {
+		t.Errorf("%s: the pseudonym did not arrive", method)
+	}
+}
+
+func clearFaults(s *service.Service) {
+	s.LoseAnswers(0)
+	s.LoseRequests(0)
+	s.Refuse(0)
+	s.CrashOn("")
+	s.SetSlow(0)
+}
