Configuration commands: typed, checked, applied to copies

Cause: configuration changes need one form that operators' front ends, the store's log and peers can all carry.

--- /dev/null
+++ b/contract/config/command.go
@@ -0,0 +1,99 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// Command is one change of the configuration, complete in itself: applied to
+// the same snapshot it gives the same result on every node, so that a node can
+// be sent the command in place of the whole configuration.
+type Command interface {
+	// String gives the command in the operators' language, without secrets.
+	String() string
+	// apply checks the command and changes the snapshot, which is the
+	// caller's own copy.
+	apply(s *Snapshot) error
+}
+
+// Change is an accepted command: the revision it made, by whom and when.
+type Change struct {
+	Revision contract.Revision
+	By       string
+	At       time.Time
+	Command  Command
+}
+
+// Apply returns the next snapshot. The old one stays as it is, also when the
+// command is refused.
+func Apply(old *Snapshot, cmd Command, by string, at time.Time) (*Snapshot, error) {
+	next := old.Clone()
+	if err := cmd.apply(next); err != nil {
+		return nil, err
+	}
+	next.Revision = old.Revision + 1
+	next.ChangedBy = by
+	next.ChangedAt = at
+	return next, nil
+}
+
+// Replay applies accepted changes in order to a snapshot, which stays as it is.
+// The first change must have the snapshot's next revision.
+func Replay(old *Snapshot, changes []Change) (*Snapshot, error) {
+	if len(changes) == 0 {
+		return old, nil
+	}
+	next := old.Clone()
+	for _, change := range changes {
+		if change.Revision != next.Revision+1 {
+			return nil, fmt.Errorf("config: change of revision %d does not follow %d", change.Revision, next.Revision)
+		}
+		if err := change.Command.apply(next); err != nil {
+			return nil, fmt.Errorf("config: replaying revision %d: %w", change.Revision, err)
+		}
+		next.Revision = change.Revision
+		next.ChangedBy = change.By
+		next.ChangedAt = change.At
+	}
+	return next, nil
+}
+
+// Clone returns a copy that may be changed.
+func (s *Snapshot) Clone() *Snapshot {
+	next := Empty()
+	next.Revision = s.Revision
+	next.ChangedBy = s.ChangedBy
+	next.ChangedAt = s.ChangedAt
+	maps.Copy(next.Accounts, s.Accounts)
+	maps.Copy(next.Keys, s.Keys)
+	maps.Copy(next.Routes, s.Routes)
+	maps.Copy(next.Upstreams, s.Upstreams)
+	return next
+}
+
+// Batch applies several commands as one revision, or none of them.
+type Batch struct {
+	Commands []Command
+}
+
+// String implements Command.
+func (b Batch) String() string {
+	words := make([]string, 0, len(b.Commands))
+	for _, cmd := range b.Commands {
+		words = append(words, cmd.String())
+	}
+	return strings.Join(words, "; ")
+}
+
+func (b Batch) apply(s *Snapshot) error {
+	for i, cmd := range b.Commands {
+		if err := cmd.apply(s); err != nil {
+			return fmt.Errorf("command %d of the batch: %w", i+1, err)
+		}
+	}
+	return nil
+}
