Configuration spread decisions, its codec and its store

Cause: a revision must be accepted once, reach every node and never revert. A lost answer is read back by a write id, and the same conditional transaction is sent again, since a conflict proves that no earlier copy can still apply.

--- /dev/null
+++ b/contract/config/config_test.go
@@ -0,0 +1,308 @@
+package config_test
+
+import (
+	"errors"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func account(name string) contract.ClientAccount {
+	return contract.ClientAccount{ID: contract.AccountID(name), Rate: contract.Rate{PerSecond: 10, Burst: 20}, Weight: 1}
+}
+
+func engine(name string) upstream.Upstream {
+	return upstream.Upstream{
+		ID: upstream.ID(name), Place: zone.Place{Region: "north", Zone: "a"}, Role: upstream.RoleDecode,
+		Models: []contract.ModelName{"m"}, SidecarAddr: "127.0.0.1:7100",
+	}
+}
+
+func modelRoute(name, model string) contract.Route {
+	return contract.Route{Name: contract.RouteName(name), Kind: contract.RouteModel, Model: contract.ModelName(model), Timeout: time.Second}
+}
+
+func serviceRoute(name, path string) contract.Route {
+	return contract.Route{Name: contract.RouteName(name), Kind: contract.RouteService, Service: "desk", PathPrefix: path, Timeout: time.Second}
+}
+
+var firstKey, secondKey = contract.HashKey("first"), contract.HashKey("second")
+
+// base has one of each kind; "old" is retired and secondKey withdrawn.
+func base(t testing.TB) *config.Snapshot {
+	t.Helper()
+	next, err := config.Apply(config.Empty(), config.Batch{Commands: []config.Command{
+		config.CreateAccount{Account: account("acme")},
+		config.CreateAccount{Account: account("idle")},
+		config.GrantKey{Hash: firstKey, Account: "acme", Label: "till"},
+		config.GrantKey{Hash: secondKey, Account: "acme"},
+		config.WithdrawKey{Hash: secondKey},
+		config.CreateRoute{Route: modelRoute("chat", "m")},
+		config.CreateRoute{Route: serviceRoute("desk", "/desk/")},
+		config.AddUpstream{Upstream: engine("e1")},
+		config.AddUpstream{Upstream: engine("old")},
+		config.ChangeState{ID: "old", State: upstream.StateDraining},
+		config.ChangeState{ID: "old", State: upstream.StateRetired},
+	}}, "root", start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return next
+}
+
+func with[V any](value V, change func(*V)) V {
+	change(&value)
+	return value
+}
+
+func TestCommands(t *testing.T) {
+	invalid, missing, exists, state := &config.InvalidError{}, &config.NotFoundError{}, &config.ExistsError{}, &config.StateError{}
+	cases := []struct {
+		cmd  config.Command
+		want error
+	}{
+		{config.CreateAccount{Account: account("new")}, nil},
+		{config.CreateAccount{Account: account("acme")}, exists},
+		{config.CreateAccount{Account: account("-x")}, invalid},
+		{config.CreateAccount{Account: account("a b")}, invalid},
+		{config.CreateAccount{Account: with(account("x"), func(a *contract.ClientAccount) { a.Weight = 0 })}, invalid},
+		{config.SetAccount{Account: with(account("acme"), func(a *contract.ClientAccount) { a.Rate.Burst = 0 })}, invalid},
+		{config.SetAccount{Account: with(account("acme"), func(a *contract.ClientAccount) { a.Rate.PerSecond = -1 })}, invalid},
+		{config.SetAccount{Account: account("nobody")}, missing},
+		{config.DeleteAccount{ID: "acme"}, state},
+		{config.DeleteAccount{ID: "idle"}, nil},
+		{config.GrantKey{Hash: contract.HashKey("3"), Account: "acme"}, nil},
+		{config.GrantKey{Hash: contract.HashKey("3"), Account: "nobody"}, missing},
+		{config.GrantKey{Hash: firstKey, Account: "idle"}, exists},
+		{config.WithdrawKey{Hash: firstKey}, nil},
+		{config.WithdrawKey{Hash: secondKey}, state},
+		{config.WithdrawKey{Hash: contract.HashKey("3")}, missing},
+		{config.DeleteKey{Hash: firstKey}, state},
+		{config.DeleteKey{Hash: secondKey}, nil},
+		{config.CreateRoute{Route: modelRoute("other", "m")}, invalid},
+		{config.CreateRoute{Route: modelRoute("other", "m2")}, nil},
+		{config.CreateRoute{Route: serviceRoute("other", "/desk/")}, invalid},
+		{config.CreateRoute{Route: serviceRoute("other", "/v1/x/")}, invalid},
+		{config.CreateRoute{Route: serviceRoute("other", "desk")}, invalid},
+		{config.CreateRoute{Route: contract.Route{Name: "none", Timeout: time.Second}}, invalid},
+		{config.SetRoute{Route: with(modelRoute("chat", "m"), func(r *contract.Route) { r.Timeout = 0 })}, invalid},
+		{config.SetRoute{Route: modelRoute("none", "m")}, missing},
+		{config.DeleteRoute{Name: "chat"}, nil},
+		{config.AddUpstream{Upstream: engine("e1")}, exists},
+		{config.AddUpstream{Upstream: engine("old")}, nil},
+		{config.AddUpstream{Upstream: with(engine("e2"), func(u *upstream.Upstream) { u.SidecarAddr = "host:1" })}, invalid},
+		{config.AddUpstream{Upstream: with(engine("e2"), func(u *upstream.Upstream) { u.Role = upstream.RoleService })}, invalid},
+		{config.SetUpstream{Upstream: engine("old")}, state},
+		{config.ChangeState{ID: "e1", State: upstream.StateRetired}, state},
+		{config.ChangeState{ID: "e1", State: upstream.StateServing}, state},
+		{config.ChangeState{ID: "e1", State: upstream.StateDraining}, nil},
+		{config.ChangeRole{ID: "e1", Role: upstream.RolePrefill}, nil},
+		{config.ChangeRole{ID: "e1", Role: upstream.RoleService}, invalid},
+		{config.LoadModel{ID: "e1", Model: "m2"}, nil},
+		{config.LoadModel{ID: "e9", Model: "m2"}, missing},
+		{config.DeleteUpstream{ID: "e1"}, state},
+		{config.DeleteUpstream{ID: "old"}, nil},
+		{config.Batch{Commands: []config.Command{config.DeleteRoute{Name: "chat"}, config.DeleteRoute{Name: "chat"}}}, missing},
+	}
+	for _, c := range cases {
+		t.Run(c.cmd.String(), func(t *testing.T) {
+			before, untouched := base(t), base(t)
+			next, err := config.Apply(before, c.cmd, "op", start)
+			if !reflect.DeepEqual(before, untouched) {
+				t.Fatal("the old snapshot was changed")
+			}
+			if c.want != nil {
+				if next != nil || !sameKind(err, c.want) {
+					t.Fatalf("got %v, want a %T", err, c.want)
+				}
+				return
+			}
+			if err != nil || next.Revision != before.Revision+1 || len(config.Diff(before, next)) == 0 {
+				t.Fatalf("error %v, next %+v", err, next)
+			}
+		})
+	}
+}
+
+func sameKind(err, want error) bool {
+	for ; err != nil; err = errors.Unwrap(err) {
+		if reflect.TypeOf(err) == reflect.TypeOf(want) {
+			return true
+		}
+	}
+	return false
+}
+
+func TestWithdrawnKeysOverSeveralRevisions(t *testing.T) {
+	first := base(t)
+	if got := config.Withdrawn(config.Empty(), first); len(got) != 0 {
+		t.Errorf("from nothing: %v", got)
+	}
+	last, err := config.Apply(first, config.Batch{Commands: []config.Command{
+		config.WithdrawKey{Hash: firstKey}, config.DeleteAccount{ID: "acme"}}}, "op", start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := config.Withdrawn(first, last); len(got) != 1 || got[0] != firstKey {
+		t.Errorf("withdrawn %v, want the first key only", got)
+	}
+}
+
+// chain makes snapshots 1 to n and the changes that lead to them.
+func chain(t testing.TB, n int) (snapshots []*config.Snapshot, changes []config.Change) {
+	t.Helper()
+	snapshots = append(snapshots, config.Empty())
+	for i := 1; i <= n; i++ {
+		cmd := config.CreateAccount{Account: account(fmt.Sprint("a", i))}
+		next, err := config.Apply(snapshots[i-1], cmd, "op", start)
+		if err != nil {
+			t.Fatal(err)
+		}
+		snapshots = append(snapshots, next)
+		changes = append(changes, config.Change{Revision: next.Revision, By: "op", At: start, Command: cmd})
+	}
+	return snapshots, changes
+}
+
+func TestSpreadNeverStepsBack(t *testing.T) {
+	snapshots, changes := chain(t, 10)
+	s := config.NewSpread(0)
+	steps := []struct {
+		name  string
+		offer func() bool
+		want  contract.Revision
+	}{
+		{"snapshot", func() bool { _, changed := s.Offer(snapshots[3]); return changed }, 3},
+		{"older snapshot", func() bool { _, changed := s.Offer(snapshots[2]); return changed }, 3},
+		{"nothing", func() bool { _, changed := s.Offer(nil); return changed }, 3},
+		{"changes that overlap", func() bool { _, changed, _ := s.OfferChanges(changes[1:6]); return changed }, 6},
+		{"old changes", func() bool { _, changed, _ := s.OfferChanges(changes[:4]); return changed }, 6},
+		{"changes with a gap", func() bool { _, _, ok := s.OfferChanges(changes[8:]); return ok }, 6},
+		{"the rest", func() bool { _, changed, _ := s.OfferChanges(changes[6:]); return changed }, 10},
+	}
+	for _, step := range steps {
+		before := s.Current().Revision
+		if got := step.offer(); got != (step.want > before) {
+			t.Errorf("%s: reported %v", step.name, got)
+		}
+		if got := s.Current().Revision; got != step.want {
+			t.Fatalf("%s: revision %d, want %d", step.name, got, step.want)
+		}
+	}
+	if !reflect.DeepEqual(s.Current(), snapshots[10]) {
+		t.Error("changes gave another snapshot than commands")
+	}
+	if got, ok := s.Since(5); !ok || len(got) != 5 || got[0].Revision != 6 {
+		t.Errorf("since 5: %v %v", got, ok)
+	}
+	if _, ok := s.Since(2); ok {
+		t.Error("gave changes that it does not have")
+	}
+}
+
+func TestSpreadFetches(t *testing.T) {
+	snapshots, _ := chain(t, 9)
+	s := config.NewSpread(2 * time.Second)
+	now := start
+	poll := s.Due(now)
+	if len(poll) != 1 || !poll[0].Poll {
+		t.Fatalf("no first read of the store: %v", poll)
+	}
+	s.Hear(now, 5, "p1")
+	s.Hear(now, 4, "late")
+	s.Hear(now, 5, "p2")
+	var asked []string
+	for range 4 {
+		due := s.Due(now)
+		if len(due) != 1 || len(s.Due(now)) != 0 {
+			t.Fatalf("fetches due: %v", due)
+		}
+		asked = append(asked, due[0].Peer)
+		s.Fetched(now, due[0], true)
+		if len(s.Due(now)) != 0 {
+			t.Fatal("a failed fetch is repeated at once")
+		}
+		now, _ = s.NextDue()
+	}
+	if want := []string{"p1", "p2", "", "p1"}; !reflect.DeepEqual(asked, want) {
+		t.Errorf("asked %v, want %v", asked, want)
+	}
+	s.Offer(snapshots[5])
+	if due := s.Due(now); len(due) != 0 {
+		t.Errorf("fetches with nothing wanted: %v", due)
+	}
+	s.Fetched(now, poll[0], false)
+	if at, ok := s.NextDue(); !ok || at != start.Add(2*time.Second) {
+		t.Errorf("next read of the store at %v %v", at, ok)
+	}
+}
+
+func TestTrust(t *testing.T) {
+	snapshots, _ := chain(t, 2)
+	all := []zone.AvailabilityZone{"a", "b", "c"}
+	const within = 5 * time.Second
+	setups := map[string]func(s *config.Spread){
+		"nothing found":     func(*config.Spread) {},
+		"cut off":           func(s *config.Spread) { s.Offer(snapshots[1]) },
+		"store just read":   func(s *config.Spread) { s.Offer(snapshots[1]); s.Fetched(start, config.Fetch{Poll: true}, false) },
+		"store read failed": func(s *config.Spread) { s.Offer(snapshots[1]); s.Fetched(start, config.Fetch{Poll: true}, true) },
+		"neighbour heard":   func(s *config.Spread) { s.Offer(snapshots[1]); s.HearZone("b", start) },
+		"neighbour long ago": func(s *config.Spread) {
+			s.Offer(snapshots[1])
+			s.HearZone("b", start.Add(-within))
+		},
+		"behind for long": func(s *config.Spread) {
+			s.Offer(snapshots[1])
+			s.HearZone("b", start)
+			s.Hear(start.Add(-within-1), 2, "")
+		},
+		"behind a moment": func(s *config.Spread) {
+			s.Offer(snapshots[1])
+			s.HearZone("b", start)
+			s.Hear(start.Add(-time.Second), 2, "")
+		},
+	}
+	want := map[config.TrustRule]map[string]bool{
+		config.TrustStore: {"store just read": true},
+		config.TrustZones: {"store just read": true, "neighbour heard": true, "behind a moment": true},
+		config.TrustAny: {"cut off": true, "store just read": true, "store read failed": true, "neighbour heard": true,
+			"neighbour long ago": true, "behind for long": true, "behind a moment": true},
+	}
+	for rule, trusted := range want {
+		for name, setup := range setups {
+			s := config.NewSpread(0)
+			setup(s)
+			got, reason := s.Trusted(start, config.Trust{Rule: rule, Within: within, Own: "a", All: all})
+			if got != trusted[name] || got != (reason == "") {
+				t.Errorf("%s, %s: trusted %v (%s)", rule, name, got, reason)
+			}
+		}
+	}
+}
+
+func BenchmarkApply(b *testing.B) {
+	s := config.Empty()
+	for i := range 9700 {
+		a := account(fmt.Sprint("account-", i))
+		s.Accounts[a.ID] = a
+		hash := contract.HashKey(string(a.ID))
+		s.Keys[hash] = contract.Key{Hash: hash, Account: a.ID}
+	}
+	for i := range 4800 {
+		u := engine(fmt.Sprint("engine-", i))
+		s.Upstreams[u.ID] = u
+	}
+	for b.Loop() {
+		if _, err := config.Apply(s, config.CreateAccount{Account: account("new")}, "op", start); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/link/platform/configstore/accept.go
@@ -0,0 +1,155 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+)
+
+// Bounds of the attempts to learn what became of a write.
+const (
+	acceptAttempts = 6
+	acceptBackoff  = 100 * time.Millisecond
+)
+
+// Accept asks the store to take a change that follows the base snapshot. A nil
+// error means that it is accepted and cannot be lost. Otherwise the error wraps
+// ConflictError, ErrNotAccepted or ErrUndecided.
+func (s *Store) Accept(ctx context.Context, base *config.Snapshot, change config.Change) error {
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return errors.Join(ErrNotAccepted, err)
+	}
+	if h.Revision != base.Revision {
+		return &ConflictError{Expected: base.Revision, Winner: h.Revision, By: h.By, At: h.At}
+	}
+	writeID := newWriteID()
+	tx, err := s.transaction(ctx, h, base, change, writeID)
+	if err != nil {
+		return errors.Join(ErrNotAccepted, err)
+	}
+	return s.commit(ctx, tx, change, writeID)
+}
+
+// transaction builds the write of the head row and the change's row, and with
+// it the trimming of the log when a snapshot is due.
+func (s *Store) transaction(ctx context.Context, h head, base *config.Snapshot, change config.Change, writeID string) (platform.Transaction, error) {
+	next := head{Revision: change.Revision, By: change.By, At: change.At, Snapshot: h.Snapshot, LogFrom: h.LogFrom}
+	var trimmed []platform.Write
+	if base.Revision >= h.Snapshot+SnapshotEvery {
+		trimmed = s.snapshot(ctx, h, base, &next)
+	}
+	headValue, err := configcodec.Encode(next)
+	if err != nil {
+		return platform.Transaction{}, err
+	}
+	row, err := configcodec.Encode(entry{Change: change, WriteID: writeID})
+	if err != nil {
+		return platform.Transaction{}, err
+	}
+	writes := []platform.Write{
+		{Key: headKey, Value: headValue},
+		{Key: logKey(change.Revision), Value: row},
+	}
+	return platform.Transaction{
+		Conditions: []platform.Condition{{Key: headKey, Version: h.version}},
+		Writes:     append(writes, trimmed...),
+	}, nil
+}
+
+// commit writes until it is known what became of the change. The transaction is
+// conditional on the head row's version, so that repeating it cannot apply it
+// twice, and a conflict proves that no earlier copy of it can still apply.
+func (s *Store) commit(ctx context.Context, tx platform.Transaction, change config.Change, writeID string) error {
+	maybeWritten := false
+	for attempt := range acceptAttempts {
+		err := s.table.Commit(ctx, tx)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, platform.ErrConflict):
+			return s.afterConflict(ctx, change, writeID, maybeWritten)
+		case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
+			if !maybeWritten {
+				return errors.Join(ErrNotAccepted, err)
+			}
+		default:
+			maybeWritten = true
+		}
+		if done, err := s.readBack(ctx, change, writeID); done {
+			return err
+		}
+		if !pause(ctx, acceptBackoff<<attempt) {
+			break
+		}
+	}
+	return ErrUndecided
+}
+
+// readBack looks for the outcome of a write whose answer was lost. Finding
+// nothing proves nothing, since the write may still be under way.
+func (s *Store) readBack(ctx context.Context, change config.Change, writeID string) (done bool, err error) {
+	rows, err := s.table.Get(ctx, logKey(change.Revision))
+	if err != nil || len(rows) == 0 {
+		return false, nil
+	}
+	found, err := decodeEntry(rows[0])
+	if err != nil {
+		return true, errors.Join(ErrUndecided, err)
+	}
+	if found.WriteID == writeID {
+		return true, nil
+	}
+	return true, s.conflict(ctx, change.Revision-1, found.Change)
+}
+
+// afterConflict tells a change that was beaten from one whose own earlier write
+// moved the head row.
+func (s *Store) afterConflict(ctx context.Context, change config.Change, writeID string, maybeWritten bool) error {
+	for attempt := range acceptAttempts {
+		done, err := s.readBack(ctx, change, writeID)
+		if done {
+			return err
+		}
+		h, err := s.readHead(ctx)
+		if err == nil && h.Revision >= change.Revision && !maybeWritten {
+			return &ConflictError{Expected: change.Revision - 1, Winner: h.Revision, By: h.By, At: h.At}
+		}
+		if !pause(ctx, acceptBackoff<<attempt) {
+			break
+		}
+	}
+	if !maybeWritten {
+		return errors.Join(ErrNotAccepted, platform.ErrConflict)
+	}
+	return ErrUndecided
+}
+
+// conflict names the highest revision if it can be read, else the one that took
+// this change's place.
+func (s *Store) conflict(ctx context.Context, expected contract.Revision, winner config.Change) error {
+	conflict := &ConflictError{Expected: expected, Winner: winner.Revision, By: winner.By, At: winner.At}
+	if h, err := s.readHead(ctx); err == nil && h.Revision > winner.Revision {
+		conflict.Winner = h.Revision
+		conflict.By = h.By
+		conflict.At = h.At
+	}
+	return conflict
+}
+
+// pause waits and reports whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/link/platform/configstore/load.go
@@ -0,0 +1,133 @@
+package configstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+)
+
+// loadAttempts bounds the reads that start anew because the log was trimmed
+// while it was read.
+const loadAttempts = 3
+
+// scanLimit is the number of rows read at a time.
+const scanLimit = 256
+
+// Loaded is what Load found.
+type Loaded struct {
+	// Snapshot has the highest revision that was found. It is the one that
+	// the caller had if the store has no higher one.
+	Snapshot *config.Snapshot
+	// Changes lead from the caller's snapshot to this one; nil if a stored
+	// snapshot was read in place of them.
+	Changes []config.Change
+}
+
+// Load reads the newest configuration: the changes since the one at hand if
+// they are still in the log, else the newest stored snapshot and the changes
+// since. With nothing new it costs one read of one row.
+func (s *Store) Load(ctx context.Context, have *config.Snapshot) (Loaded, error) {
+	var err error
+	for range loadAttempts {
+		var loaded Loaded
+		loaded, err = s.loadOnce(ctx, have)
+		if err == nil || !errors.Is(err, errTrimmed) {
+			return loaded, err
+		}
+	}
+	return Loaded{}, errors.Join(ErrUnavailable, err)
+}
+
+// errTrimmed means that the log was trimmed between two reads.
+var errTrimmed = errors.New("configstore: log was trimmed while it was read")
+
+func (s *Store) loadOnce(ctx context.Context, have *config.Snapshot) (Loaded, error) {
+	h, err := s.readHead(ctx)
+	if err != nil {
+		return Loaded{}, err
+	}
+	if h.Revision <= have.Revision {
+		return Loaded{Snapshot: have}, nil
+	}
+	if have.Revision+1 >= h.LogFrom {
+		return s.replay(ctx, have, h)
+	}
+	base, err := s.readSnapshot(ctx, h.Snapshot)
+	if err != nil {
+		return Loaded{}, err
+	}
+	loaded, err := s.replay(ctx, base, h)
+	loaded.Changes = nil
+	return loaded, err
+}
+
+func (s *Store) replay(ctx context.Context, base *config.Snapshot, h head) (Loaded, error) {
+	changes, err := s.readLog(ctx, base.Revision, h.Revision)
+	if err != nil {
+		return Loaded{}, err
+	}
+	next, err := config.Replay(base, changes)
+	if err != nil {
+		return Loaded{}, errors.Join(ErrUnreadable, err)
+	}
+	return Loaded{Snapshot: next, Changes: changes}, nil
+}
+
+// readLog reads the changes after one revision up to another.
+func (s *Store) readLog(ctx context.Context, after, upTo contract.Revision) ([]config.Change, error) {
+	changes := make([]config.Change, 0, upTo-after)
+	for after < upTo {
+		limit := min(scanLimit, int(upTo-after))
+		rows, err := s.table.Scan(ctx, logPrefix, logKey(after), limit)
+		if err != nil {
+			return nil, errors.Join(ErrUnavailable, err)
+		}
+		if len(rows) == 0 {
+			return nil, errTrimmed
+		}
+		for _, row := range rows {
+			change, err := decodeEntry(row)
+			if err != nil {
+				return nil, err
+			}
+			if change.Change.Revision != after+1 {
+				return nil, errTrimmed
+			}
+			after = change.Change.Revision
+			changes = append(changes, change.Change)
+		}
+	}
+	return changes, nil
+}
+
+func decodeEntry(row platform.Row) (entry, error) {
+	var e entry
+	if err := configcodec.Decode(row.Value, &e); err != nil {
+		return entry{}, errors.Join(ErrUnreadable, fmt.Errorf("row %s: %w", row.Key, err))
+	}
+	return e, nil
+}
+
+// readSnapshot reads a stored snapshot; revision 0 is the empty one.
+func (s *Store) readSnapshot(ctx context.Context, revision contract.Revision) (*config.Snapshot, error) {
+	if revision == 0 {
+		return config.Empty(), nil
+	}
+	body, err := s.objects.Get(ctx, snapshotName(revision))
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, errors.Join(errTrimmed, err)
+	}
+	if err != nil {
+		return nil, errors.Join(ErrUnavailable, err)
+	}
+	var stored config.Snapshot
+	if err := configcodec.Decode(body, &stored); err != nil {
+		return nil, errors.Join(ErrUnreadable, err)
+	}
+	return stored.Clone(), nil
+}
