Add the sidecar's ledger and the entry's board of upstreams

Cause: an entry must reserve decode memory before it pays for a prefill, and only the process beside an upstream knows what that upstream has promised. Ruled out: freeing a lapsed grant inside Reserve, since the engine holds its memory until the sidecar has cancelled it; scoring all runners, since the cost would grow with the fleet. Seen to fail when broken: the blocks check, the release, the order of windows, the own sends, the leaving list and quiet zones.

--- /dev/null
+++ b/upstream/engine/ledger.go
@@ -0,0 +1,282 @@
+// Package engine decides what a sidecar promises of its upstream. The sidecar
+// alone knows what it accepted, so its ledger is the only authority on slots,
+// KV blocks, the import link and the prefill queue. Services use it for their
+// slots. A ledger has no lock: it lives in a shared table of rank RankLedger.
+package engine
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/link/transfer"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// DefaultLease is how long a grant lives without a renewal.
+const DefaultLease = 1500 * time.Millisecond
+
+// Limits are what an upstream can hold and do. Zero limits of rates, queue and
+// waits mean no limit; a zero Lease means DefaultLease.
+type Limits struct {
+	Role          upstream.Role
+	Slots, Blocks int
+	// LinkBlocksPerSecond is the rate of the KV import link.
+	LinkBlocksPerSecond float64
+	// PrefillPerSecond is in prompt tokens a second.
+	PrefillPerSecond contract.Tokens
+	// MaxQueuedTokens bounds the prompts accepted and not yet prefilled.
+	MaxQueuedTokens contract.Tokens
+	Lease           time.Duration
+	// MaxWindowWait is the longest that a KV cache may wait for the link.
+	MaxWindowWait time.Duration
+}
+
+// Ask is what a call wants of the upstream.
+type Ask struct {
+	Call        contract.CallID
+	Owner       instance.Identity
+	Account     contract.AccountID
+	Fingerprint contract.Fingerprint
+	// Blocks is the memory for prompt and output; ImportBlocks is what comes
+	// over the transfer link.
+	Blocks, ImportBlocks int
+	// Tokens is the prompt's length, for a prefill.
+	Tokens   contract.Tokens
+	Priority int
+	// ReadyIn is when the KV cache can be there at the earliest.
+	ReadyIn time.Duration
+}
+
+// Grant says when the import link opens and how long the grant lives without a
+// renewal.
+type Grant struct {
+	WindowIn, Lease time.Duration
+}
+
+// grant is a promise that was made and not yet given back.
+type grant struct {
+	ask     Ask
+	opens   time.Time
+	expires time.Time
+	running bool
+}
+
+// Ledger is the record of all that a sidecar has promised of one upstream.
+type Ledger struct {
+	id       upstream.ID
+	limits   Limits
+	leaving  bool
+	grants   map[contract.CallID]*grant
+	prefills map[contract.CallID]*grant
+	blocks   int
+	queued   contract.Tokens
+	link     *transfer.Schedule
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger(id upstream.ID, limits Limits) *Ledger {
+	l := &Ledger{
+		id:       id,
+		grants:   make(map[contract.CallID]*grant),
+		prefills: make(map[contract.CallID]*grant),
+		link:     transfer.NewSchedule(limits.LinkBlocksPerSecond),
+	}
+	l.SetLimits(limits)
+	return l
+}
+
+// SetLimits changes the limits for new work. Grants made before stay.
+func (l *Ledger) SetLimits(limits Limits) {
+	if limits.Lease <= 0 {
+		limits.Lease = DefaultLease
+	}
+	l.limits = limits
+	l.link.SetRate(limits.LinkBlocksPerSecond)
+}
+
+// SetLeaving says whether the upstream takes no more new work.
+func (l *Ledger) SetLeaving(leaving bool) {
+	l.leaving = leaving
+}
+
+// Reserve grants a slot, blocks and a window on the import link, all or
+// nothing. Asked again for a call that holds a grant, it renews that grant.
+func (l *Ledger) Reserve(now time.Time, a Ask) (Grant, *contract.Refusal) {
+	if held, ok := l.grants[a.Call]; ok {
+		return l.again(now, held, a)
+	}
+	if refusal := l.refuseNew(a); refusal != nil {
+		return Grant{}, refusal
+	}
+	window := l.link.Find(a.Call, a.ImportBlocks, now.Add(a.ReadyIn))
+	wait := window.Start.Sub(now) - a.ReadyIn
+	if l.limits.MaxWindowWait > 0 && wait > l.limits.MaxWindowWait {
+		return Grant{}, contract.RefuseRepeat(contract.CodeOverCapacity, wait, "the transfer link is reserved for too long")
+	}
+	l.link.Add(window)
+	l.blocks += a.Blocks
+	held := &grant{ask: a, opens: window.Start, expires: now.Add(l.limits.Lease)}
+	l.grants[a.Call] = held
+	return l.describe(now, held), nil
+}
+
+// again answers a repeated ask of the grant's own owner.
+func (l *Ledger) again(now time.Time, held *grant, a Ask) (Grant, *contract.Refusal) {
+	if !held.ownedBy(a.Owner) || !now.Before(held.expires) {
+		return Grant{}, contract.Refuse(contract.CodeStaleGrant, "the call's grant has lapsed or is another's")
+	}
+	held.expires = now.Add(l.limits.Lease)
+	return l.describe(now, held), nil
+}
+
+func (l *Ledger) describe(now time.Time, held *grant) Grant {
+	return Grant{WindowIn: max(0, held.opens.Sub(now)), Lease: l.limits.Lease}
+}
+
+// refuseNew refuses work that finds no room. Lapsed grants count until Expire
+// removes them, because the upstream still holds their memory.
+func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
+	switch {
+	case l.leaving:
+		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	case len(l.grants) >= l.limits.Slots:
+		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no free slot", l.id))
+	case l.blocks+a.Blocks > l.limits.Blocks && a.Blocks > 0:
+		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no room for %d blocks", l.id, a.Blocks))
+	default:
+		return nil
+	}
+}
+
+// AcceptPrefill queues a prompt, bounded by tokens. Release takes it out of the
+// queue. One prompt is accepted whatever its length when the queue is empty.
+func (l *Ledger) AcceptPrefill(now time.Time, a Ask) *contract.Refusal {
+	if _, ok := l.prefills[a.Call]; ok {
+		return nil
+	}
+	if l.leaving {
+		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	}
+	limit := l.limits.MaxQueuedTokens
+	if limit > 0 && l.queued > 0 && l.queued+a.Tokens > limit {
+		return contract.RefuseRepeat(contract.CodeOverCapacity, l.prefillTime(l.queued), fmt.Sprintf("upstream %s has %d prompt tokens queued", l.id, l.queued))
+	}
+	l.queued += a.Tokens
+	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.prefillLease(a))}
+	return nil
+}
+
+// prefillLease bounds how long a prefill counts if nobody releases it: nobody
+// renews it, so it is twice the time that the queue should take, and a lease.
+func (l *Ledger) prefillLease(a Ask) time.Duration {
+	return a.ReadyIn + 2*l.prefillTime(l.queued) + l.limits.Lease
+}
+
+func (l *Ledger) prefillTime(tokens contract.Tokens) time.Duration {
+	if l.limits.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(tokens) * time.Second / time.Duration(l.limits.PrefillPerSecond)
+}
+
+// Renew prolongs the owner's grants and returns the calls that hold none. A
+// grant whose lease ran out is not prolonged: its holder was away too long.
+func (l *Ledger) Renew(now time.Time, owner instance.Identity, calls []contract.CallID) (unknown []contract.CallID) {
+	for _, call := range calls {
+		held, ok := l.grants[call]
+		if !ok || !held.ownedBy(owner) || !now.Before(held.expires) {
+			unknown = append(unknown, call)
+			continue
+		}
+		held.expires = now.Add(l.limits.Lease)
+	}
+	return unknown
+}
+
+// Holds reports whether the call has a grant whose lease runs.
+func (l *Ledger) Holds(now time.Time, call contract.CallID) bool {
+	held, ok := l.grants[call]
+	return ok && now.Before(held.expires)
+}
+
+// Start marks a call as sent to the upstream, so that it counts as running when
+// the upstream dies. It reports whether the call holds anything.
+func (l *Ledger) Start(now time.Time, call contract.CallID) bool {
+	started := false
+	for _, table := range []map[contract.CallID]*grant{l.grants, l.prefills} {
+		if held, ok := table[call]; ok && now.Before(held.expires) {
+			held.running = true
+			started = true
+		}
+	}
+	return started
+}
+
+// Transferred gives back what is left of the call's window on the import link.
+func (l *Ledger) Transferred(call contract.CallID) {
+	l.link.Release(call)
+}
+
+// Release gives back all that a call holds and reports whether it held any.
+func (l *Ledger) Release(_ time.Time, call contract.CallID) bool {
+	granted := l.dropGrant(call)
+	queued := l.dropPrefill(call)
+	return granted || queued
+}
+
+func (l *Ledger) dropGrant(call contract.CallID) bool {
+	held, ok := l.grants[call]
+	if !ok {
+		return false
+	}
+	l.blocks -= held.ask.Blocks
+	l.link.Release(call)
+	delete(l.grants, call)
+	return true
+}
+
+func (l *Ledger) dropPrefill(call contract.CallID) bool {
+	held, ok := l.prefills[call]
+	if !ok {
+		return false
+	}
+	l.queued -= held.ask.Tokens
+	delete(l.prefills, call)
+	return true
+}
+
+// Expire removes the grants whose lease ran out and returns their calls, which
+// the sidecar then cancels at the upstream.
+func (l *Ledger) Expire(now time.Time) []contract.CallID {
+	return l.drop(func(held *grant) bool { return !now.Before(held.expires) })
+}
+
+// Reset forgets everything, because the upstream was restarted, and returns the
+// calls that held something.
+func (l *Ledger) Reset() []contract.CallID {
+	calls := l.drop(func(*grant) bool { return true })
+	l.link.Clear()
+	return calls
+}
+
+// drop removes what matches from both tables, in order of calls.
+func (l *Ledger) drop(match func(*grant) bool) []contract.CallID {
+	var calls []contract.CallID
+	for call, held := range l.grants {
+		if match(held) {
+			l.dropGrant(call)
+			calls = append(calls, call)
+		}
+	}
+	for call, held := range l.prefills {
+		if match(held) {
+			l.dropPrefill(call)
+			calls = append(calls, call)
+		}
+	}
+	slices.SortFunc(calls, compareCalls)
+	return slices.Compact(calls)
+}
--- /dev/null
+++ b/upstream/engine/ledger_test.go
@@ -0,0 +1,186 @@
+package engine
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	start  = time.Unix(1000, 0)
+	limits = Limits{
+		Role: upstream.RoleDecode, Slots: 2, Blocks: 10, LinkBlocksPerSecond: 10,
+		PrefillPerSecond: 1000, MaxQueuedTokens: 500, Lease: time.Second, MaxWindowWait: 900 * time.Millisecond,
+	}
+	entryA = instance.Identity{Name: "a", Incarnation: 1}
+	entryB = instance.Identity{Name: "a", Incarnation: 2}
+)
+
+func call(n int) contract.CallID {
+	return contract.CallID{Request: contract.RequestID(fmt.Sprint("r", n)), Attempt: 1}
+}
+
+func ask(n, blocks int) Ask {
+	return Ask{Call: call(n), Owner: entryA, Blocks: blocks, ImportBlocks: blocks, Fingerprint: contract.Fingerprint(n)}
+}
+
+// TestLedger runs each fault case against a ledger that granted call 1 five
+// blocks, half a second of the link, at the start.
+func TestLedger(t *testing.T) {
+	code := func(r *contract.Refusal) any {
+		if r == nil {
+			return nil
+		}
+		return r.Code
+	}
+	reserve := func(l *Ledger, at time.Duration, a Ask) any {
+		_, refusal := l.Reserve(start.Add(at), a)
+		return code(refusal)
+	}
+	other := ask(1, 5)
+	other.Owner = entryB
+	long := ask(3, 0)
+	long.Tokens = 600
+	cases := []struct {
+		name string
+		got  func(l *Ledger) any
+		want any
+	}{
+		{"room is granted", func(l *Ledger) any { return reserve(l, 0, ask(2, 5)) }, nil},
+		{"blocks are not over-committed", func(l *Ledger) any { return reserve(l, 0, ask(2, 6)) }, contract.CodeOverCapacity},
+		{"slots are not over-committed", func(l *Ledger) any { reserve(l, 0, ask(2, 1)); return reserve(l, 0, ask(3, 1)) }, contract.CodeOverCapacity},
+		{"a repeated ask takes nothing more", func(l *Ledger) any { reserve(l, 0, ask(1, 5)); return l.Load(start).FreeBlocks }, 5},
+		{"a later run of the entry does not own the grant", func(l *Ledger) any { return reserve(l, 0, other) }, contract.CodeStaleGrant},
+		{"nor does it renew it", func(l *Ledger) any { return len(l.Renew(start, entryB, []contract.CallID{call(1)})) }, 1},
+		{"a window follows the one before", func(l *Ledger) any { g, _ := l.Reserve(start, ask(2, 5)); return g.WindowIn }, 500 * time.Millisecond},
+		{"a link reserved for too long refuses", func(l *Ledger) any {
+			l.SetLimits(Limits{Slots: 9, Blocks: 99, LinkBlocksPerSecond: 10, MaxWindowWait: 400 * time.Millisecond})
+			return reserve(l, 0, ask(2, 5))
+		}, contract.CodeOverCapacity},
+		{"a lapsed grant counts until it is cancelled", func(l *Ledger) any { return reserve(l, 2*time.Second, ask(2, 6)) }, contract.CodeOverCapacity},
+		{"and frees its blocks then", func(l *Ledger) any { l.Expire(start.Add(time.Second)); return reserve(l, 2*time.Second, ask(2, 10)) }, nil},
+		{"it is returned for cancelling once", func(l *Ledger) any {
+			return len(l.Expire(start.Add(time.Second))) + 10*len(l.Expire(start.Add(time.Second)))
+		}, 1},
+		{"a paused owner's late renewal is refused", func(l *Ledger) any { return len(l.Renew(start.Add(time.Second), entryA, []contract.CallID{call(1)})) }, 1},
+		{"a renewal in time keeps it", func(l *Ledger) any {
+			l.Renew(start.Add(900*time.Millisecond), entryA, []contract.CallID{call(1)})
+			return l.Holds(start.Add(1800*time.Millisecond), call(1))
+		}, true},
+		{"a lapsed grant holds nothing", func(l *Ledger) any { return l.Holds(start.Add(time.Second), call(1)) }, false},
+		{"a second release gives back nothing", func(l *Ledger) any {
+			l.Release(start, call(1))
+			l.Release(start, call(1))
+			return l.Load(start).FreeBlocks
+		}, 10},
+		{"a leaving upstream refuses", func(l *Ledger) any { l.SetLeaving(true); return reserve(l, 0, ask(2, 1)) }, contract.CodeDraining},
+		{"and prefills", func(l *Ledger) any { l.SetLeaving(true); return code(l.AcceptPrefill(start, ask(2, 1))) }, contract.CodeDraining},
+		{"but renews", func(l *Ledger) any { l.SetLeaving(true); return reserve(l, 0, ask(1, 5)) }, nil},
+		{"a restart forgets all", func(l *Ledger) any { n := len(l.Reset()); return n + l.Load(start).FreeBlocks }, 11},
+		{"one long prompt is accepted", func(l *Ledger) any { return code(l.AcceptPrefill(start, long)) }, nil},
+		{"a second finds the queue full", func(l *Ledger) any {
+			l.AcceptPrefill(start, long)
+			return code(l.AcceptPrefill(start, Ask{Call: call(4), Tokens: 1}))
+		}, contract.CodeOverCapacity},
+		{"a prefill that nobody ends lapses", func(l *Ledger) any {
+			l.AcceptPrefill(start, long)
+			l.Expire(start.Add(3 * time.Second))
+			return l.Load(start).QueuedTokens
+		}, contract.Tokens(0)},
+		{"only what was sent is suspect", func(l *Ledger) any {
+			reserve(l, 0, ask(2, 1))
+			l.Start(start, call(2))
+			return l.Sent()[0].Fingerprint
+		}, contract.Fingerprint(2)},
+		{"services need no blocks", func(l *Ledger) any { l.SetLimits(Limits{Slots: 9}); return reserve(l, 0, ask(2, 0)) }, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := NewLedger("u", limits)
+			if _, refusal := l.Reserve(start, ask(1, 5)); refusal != nil {
+				t.Fatal(refusal)
+			}
+			if got := c.got(l); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestLedgerNeverOverCommits drives a ledger at random and compares it with a
+// plain sum over what it says it holds.
+func TestLedgerNeverOverCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := NewLedger("u", limits)
+		now := start
+		gone := make(map[contract.CallID]bool)
+		pick := rapid.IntRange(0, 8)
+		remove := func(calls ...contract.CallID) {
+			for _, c := range calls {
+				gone[c] = true
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"reserve": func(t *rapid.T) {
+				a := ask(pick.Draw(t, "call"), rapid.IntRange(0, 6).Draw(t, "blocks"))
+				if _, refusal := l.Reserve(now, a); refusal == nil {
+					delete(gone, a.Call)
+				}
+			},
+			"renew": func(t *rapid.T) { l.Renew(now, entryA, []contract.CallID{call(pick.Draw(t, "call"))}) },
+			"release": func(t *rapid.T) {
+				c := call(pick.Draw(t, "call"))
+				l.Release(now, c)
+				remove(c)
+			},
+			"expire": func(*rapid.T) { remove(l.Expire(now)...) },
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			},
+			"reset": func(*rapid.T) { remove(l.Reset()...) },
+			"":      func(t *rapid.T) { checkLedger(t, l, now, gone) },
+		})
+	})
+}
+
+func checkLedger(t *rapid.T, l *Ledger, now time.Time, gone map[contract.CallID]bool) {
+	blocks := 0
+	running := l.Running()
+	for _, a := range running {
+		blocks += a.Blocks
+		if gone[a.Call] {
+			t.Fatalf("%v was given back and still counts", a.Call)
+		}
+	}
+	load := l.Load(now)
+	if len(running) > limits.Slots || blocks > limits.Blocks {
+		t.Fatalf("over-committed: %d slots, %d blocks", len(running), blocks)
+	}
+	if load.FreeSlots != limits.Slots-len(running) || load.FreeBlocks != limits.Blocks-blocks {
+		t.Fatalf("load %+v, held %d slots and %d blocks", load, len(running), blocks)
+	}
+	windows := l.link.Windows()
+	for i := 1; i < len(windows); i++ {
+		if windows[i].Start.Before(windows[i-1].End) {
+			t.Fatalf("windows %v and %v overlap", windows[i-1], windows[i])
+		}
+	}
+}
--- /dev/null
+++ b/upstream/placement/board_test.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	zoneA = zone.Place{Region: "s", Zone: "a"}
+	zoneB = zone.Place{Region: "s", Zone: "b"}
+	zoneC = zone.Place{Region: "t", Zone: "c"}
+	model = contract.ModelName("m")
+	need  = Need{Model: model, Tokens: 1000, Blocks: 2}
+)
+
+func engineAt(id upstream.ID, role upstream.Role, place zone.Place) upstream.Upstream {
+	return upstream.Upstream{
+		ID: id, Place: place, Role: role, State: upstream.StateServing,
+		Models: []contract.ModelName{model}, SidecarAddr: string(id) + ":1",
+	}
+}
+
+// loadOf is a report of an engine with nothing to do.
+func loadOf(id upstream.ID, role upstream.Role) upstream.Load {
+	return upstream.Load{
+		Upstream: id, Role: role, Slots: 20, FreeSlots: 20, Blocks: 100, FreeBlocks: 100,
+		PrefillPerSecond: 10_000, LinkBlocksPerSecond: 100,
+	}
+}
+
+// newBoard has decode engines a1, a2 in zone a, b1 in b and c1 in another
+// region, prefill engines pa, pb, and has heard that all of them are idle.
+func newBoard(t testing.TB, o Options) (*Board, map[upstream.ID]upstream.Upstream) {
+	t.Helper()
+	o.Self = zoneA
+	b, err := NewBoard(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ups := make(map[upstream.ID]upstream.Upstream)
+	for _, u := range []upstream.Upstream{
+		engineAt("a1", upstream.RoleDecode, zoneA), engineAt("a2", upstream.RoleDecode, zoneA),
+		engineAt("b1", upstream.RoleDecode, zoneB), engineAt("c1", upstream.RoleDecode, zoneC),
+		engineAt("pa", upstream.RolePrefill, zoneA), engineAt("pb", upstream.RolePrefill, zoneB),
+	} {
+		ups[u.ID] = u
+	}
+	b.SetUpstreams(start, ups)
+	for id, u := range ups {
+		b.Observe(start, loadOf(id, u.Role))
+	}
+	return b, ups
+}
+
+func ids(choices []Choice) []upstream.ID {
+	var list []upstream.ID
+	for _, c := range choices {
+		list = append(list, c.ID)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func TestUnknownPolicy(t *testing.T) {
+	if _, err := NewBoard(Options{Policy: "none"}); !errors.Is(err, ErrPolicy) {
+		t.Errorf("error %v", err)
+	}
+}
+
+// TestWhoGetsWork lists the upstreams that are among the choices after a fault.
+func TestWhoGetsWork(t *testing.T) {
+	full := func(b *Board, ids ...upstream.ID) {
+		for _, id := range ids {
+			l := loadOf(id, upstream.RoleDecode)
+			l.FreeSlots = 0
+			b.Observe(start, l)
+		}
+	}
+	all := []upstream.ID{"a1", "a2", "b1"}
+	cases := []struct {
+		name  string
+		fault func(b *Board, ups map[upstream.ID]upstream.Upstream)
+		want  []upstream.ID
+	}{
+		{"none", func(*Board, map[upstream.ID]upstream.Upstream) {}, all},
+		{"leaving by the list", func(b *Board, _ map[upstream.ID]upstream.Upstream) { b.SetLeaving(start, []upstream.ID{"a1"}) }, []upstream.ID{"a2", "b1", "c1"}},
+		{"leaving by its own word", func(b *Board, _ map[upstream.ID]upstream.Upstream) {
+			l := loadOf("a1", upstream.RoleDecode)
+			l.Leaving = true
+			b.Observe(start, l)
+		}, []upstream.ID{"a2", "b1", "c1"}},
+		{"draining by the configuration", func(b *Board, ups map[upstream.ID]upstream.Upstream) {
+			u := ups["a1"]
+			u.State = upstream.StateDraining
+			ups["a1"] = u
+			b.SetUpstreams(start, ups)
+		}, []upstream.ID{"a2", "b1", "c1"}},
+		{"gone from the configuration", func(b *Board, ups map[upstream.ID]upstream.Upstream) {
+			delete(ups, "a1")
+			b.SetUpstreams(start, ups)
+		}, []upstream.ID{"a2", "b1", "c1"}},
+		{"another role than configured", func(b *Board, _ map[upstream.ID]upstream.Upstream) {
+			b.Observe(start, loadOf("a1", upstream.RolePrefill))
+		}, []upstream.ID{"a2", "b1", "c1"}},
+		{"zone quiet", func(b *Board, _ map[upstream.ID]upstream.Upstream) { b.SetQuiet(start, []zone.AvailabilityZone{"a"}) }, []upstream.ID{"b1", "c1"}},
+		{"all zones quiet", func(b *Board, _ map[upstream.ID]upstream.Upstream) {
+			b.SetQuiet(start, []zone.AvailabilityZone{"a", "b", "c"})
+		}, all},
+		{"own zone full", func(b *Board, _ map[upstream.ID]upstream.Upstream) { full(b, "a1", "a2") }, []upstream.ID{"b1", "c1"}},
+		{"all full", func(b *Board, _ map[upstream.ID]upstream.Upstream) { full(b, "a1", "a2", "b1", "c1") }, nil},
+		{"failed again and again", func(b *Board, _ map[upstream.ID]upstream.Upstream) {
+			for range 3 {
+				b.Failed(start, "a1")
+			}
+		}, []upstream.ID{"a2", "b1", "c1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, ups := newBoard(t, Options{})
+			c.fault(b, ups)
+			if got := ids(b.Decode(start, need)); !slices.Equal(got, c.want) {
+				t.Errorf("choices %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestOwnSendsSpread sends a burst of work between two reports: it must not all
+// go to the upstream that looked best.
+func TestOwnSendsSpread(t *testing.T) {
+	for _, policy := range []string{PolicyReserve, PolicyLeastLoaded, PolicyRandomOfTwo} {
+		b, _ := newBoard(t, Options{Policy: policy})
+		counts := make(map[upstream.ID]int)
+		for range 20 {
+			counts[b.Prefill(start, need)[0].ID]++
+		}
+		if counts["pa"] < 6 || counts["pb"] < 6 {
+			t.Errorf("%s: a burst of 20 went as %v", policy, counts)
+		}
+	}
+}
+
+// BenchmarkDecode shows that the cost of a decision does not grow with the
+// number of runners.
+func BenchmarkDecode(b *testing.B) {
+	for _, runners := range []int{9, 480, 4800} {
+		b.Run(fmt.Sprintf("runners=%d", runners), func(b *testing.B) {
+			board, _ := newBoard(b, Options{})
+			ups := make(map[upstream.ID]upstream.Upstream, runners)
+			for i := range runners {
+				place := zone.Place{Region: "s", Zone: zone.AvailabilityZone(fmt.Sprint(i % 10))}
+				id := upstream.ID(fmt.Sprint("d", i))
+				ups[id] = engineAt(id, upstream.RoleDecode, place)
+			}
+			board.SetUpstreams(start, ups)
+			for id := range ups {
+				board.Observe(start, loadOf(id, upstream.RoleDecode))
+			}
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				for _, c := range board.Decode(now, need)[:1] {
+					board.Observe(now, loadOf(c.ID, upstream.RoleDecode))
+				}
+			}
+		})
+	}
+}
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -119,6 +119,8 @@
 	QueuedTokens contract.Tokens
 	// PrefillPerSecond is the engine's prompt tokens a second.
 	PrefillPerSecond contract.Tokens
+	// LinkBlocksPerSecond is the rate of the KV import link; 0 means no limit.
+	LinkBlocksPerSecond float64
 	// TransferBacklog is how long the import link is reserved from now.
 	TransferBacklog time.Duration
 	// Leaving means no new work.
