--- /dev/null
+++ b/link/caller/gate.go
@@ -0,0 +1,62 @@
+package caller
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// gateState is what the balancer and callers are told.
+type gateState struct {
+	// unready is the reason, empty when ready.
+	unready string
+	// draining refuses new requests.
+	draining bool
+}
+
+// gate says whether the entry takes requests.
+type gate struct {
+	state atomic.Pointer[gateState]
+}
+
+func (g *gate) setUnready(reason string) {
+	g.state.Store(&gateState{unready: reason})
+}
+
+// check refuses requests while draining. They did not run.
+func (g *gate) check() *contract.Refusal {
+	if g.state.Load().draining {
+		return contract.RefuseRepeat(contract.CodeDraining, time.Second, "this entry is shutting down")
+	}
+	return nil
+}
+
+// SetReady tells the balancer to send requests here.
+func (h *Handler) SetReady() {
+	h.gate.state.Store(&gateState{})
+}
+
+// SetUnready tells the balancer why it should send requests elsewhere. Those
+// that still come are served.
+func (h *Handler) SetUnready(reason string) {
+	h.gate.setUnready(reason)
+}
+
+// Drain refuses all new requests as not run; running ones go on.
+func (h *Handler) Drain() {
+	h.gate.state.Store(&gateState{unready: "draining", draining: true})
+}
+
+// ready answers the balancer.
+func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
+	state := h.gate.state.Load()
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	if state.unready == "" {
+		_, _ = w.Write([]byte("ready\n"))
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = w.Write([]byte(state.unready + "\n"))
+}
--- /dev/null
+++ b/link/caller/refusal.go
@@ -0,0 +1,96 @@
+package caller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// statusClientClosed is the customary status for a caller that left.
+const statusClientClosed = 499
+
+// statuses gives the HTTP status of each code.
+var statuses = map[contract.Code]int{
+	contract.CodeKeyMissing:         http.StatusUnauthorized,
+	contract.CodeKeyInvalid:         http.StatusUnauthorized,
+	contract.CodeKeyWithdrawn:       http.StatusUnauthorized,
+	contract.CodeRouteUnknown:       http.StatusNotFound,
+	contract.CodeModelUnknown:       http.StatusNotFound,
+	contract.CodeMalformed:          http.StatusBadRequest,
+	contract.CodeTooLarge:           http.StatusRequestEntityTooLarge,
+	contract.CodeTooSlow:            http.StatusRequestTimeout,
+	contract.CodeRateLimited:        http.StatusTooManyRequests,
+	contract.CodeOverCapacity:       http.StatusServiceUnavailable,
+	contract.CodeDeadline:           http.StatusGatewayTimeout,
+	contract.CodeDraining:           http.StatusServiceUnavailable,
+	contract.CodeNoConfig:           http.StatusServiceUnavailable,
+	contract.CodeNoUpstream:         http.StatusServiceUnavailable,
+	contract.CodeUpstreamFailed:     http.StatusBadGateway,
+	contract.CodeQuarantined:        http.StatusUnprocessableEntity,
+	contract.CodeIdempotencyMissing: http.StatusBadRequest,
+	contract.CodeIdempotencyReused:  http.StatusUnprocessableEntity,
+	contract.CodeStoreUnavailable:   http.StatusServiceUnavailable,
+	contract.CodeOutcomeUnknown:     http.StatusInternalServerError,
+	contract.CodeCanceled:           statusClientClosed,
+	contract.CodeStaleGrant:         http.StatusServiceUnavailable,
+	contract.CodeStaleOrder:         http.StatusConflict,
+	contract.CodeStreamBroken:       http.StatusBadGateway,
+	contract.CodeInternal:           http.StatusInternalServerError,
+}
+
+// Status gives the HTTP status of a code; an unlisted one is an internal error.
+func Status(code contract.Code) int {
+	if status, ok := statuses[code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// errorBody is the one shape of all errors.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code         contract.Code `json:"code"`
+	Message      string        `json:"message"`
+	Ran          string        `json:"ran"`
+	Repeat       bool          `json:"repeat"`
+	RetryAfterMS int64         `json:"retry_after_ms"`
+}
+
+// encodeRefusal gives the JSON of a refusal.
+func encodeRefusal(refusal *contract.Refusal) []byte {
+	body, err := json.Marshal(errorBody{Error: errorDetail{
+		Code:         refusal.Code,
+		Message:      refusal.Reason,
+		Ran:          refusal.Ran.String(),
+		Repeat:       refusal.Repeat,
+		RetryAfterMS: int64(math.Ceil(float64(refusal.After) / float64(time.Millisecond))),
+	}})
+	if err != nil {
+		// Strings, a bool and an integer always encode.
+		panic(err)
+	}
+	return append(body, '\n')
+}
+
+// leastRetryAfter is said where a repeat is welcome and no time is known.
+const leastRetryAfter = time.Second
+
+// writeRefusal writes a refusal as a whole answer.
+func (e *exchange) writeRefusal(refusal *contract.Refusal) error {
+	status := Status(refusal.Code)
+	header := e.w.Header()
+	header.Set("Content-Type", "application/json")
+	busy := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+	if busy && refusal.Repeat {
+		after := max(refusal.After, leastRetryAfter)
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+	return e.writeWhole(status, encodeRefusal(refusal))
+}
--- /dev/null
+++ b/link/caller/server.go
@@ -0,0 +1,62 @@
+package caller
+
+import (
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// NewServer returns the HTTP server of the callers' listener with all limits
+// set. The caller sets TLSConfig, if any, and calls Serve and Shutdown. There
+// is no limit on a whole answer, since streams last for minutes: each write has
+// its own.
+func NewServer(handler http.Handler, limits Limits, log hclog.Logger) *http.Server {
+	limits = limits.withDefaults()
+	open := &openConns{limit: limits.Connections, counted: make(map[net.Conn]bool)}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: limits.HeaderTimeout,
+		IdleTimeout:       limits.IdleTimeout,
+		MaxHeaderBytes:    limits.HeaderBytes,
+		ConnState:         open.track,
+		ErrorLog:          log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+}
+
+// openConns closes new connections above a limit.
+type openConns struct {
+	limit   int
+	mu      sync.Mutex
+	counted map[net.Conn]bool
+}
+
+// track is the server's ConnState hook. Nothing was read from a new connection,
+// so closing it loses no request.
+func (o *openConns) track(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		if !o.add(conn) {
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		o.remove(conn)
+	}
+}
+
+func (o *openConns) add(conn net.Conn) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.counted) >= o.limit {
+		return false
+	}
+	o.counted[conn] = true
+	return true
+}
+
+func (o *openConns) remove(conn net.Conn) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.counted, conn)
+}
