--- /dev/null
+++ b/contract/rate/fixed.go
@@ -0,0 +1,157 @@
+package rate
+
+import (
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+)
+
+// FixedSplit divides rate and burst evenly by the number of entries. It sends
+// no messages and wrongly refuses much when callers are uneven.
+type FixedSplit struct {
+	opts     Options
+	revision contract.Revision
+	accounts map[contract.AccountID]contract.ClientAccount
+	members  int
+	buckets  map[contract.AccountID]*bucket
+	waiting  []fixedTicket
+}
+
+type fixedTicket struct {
+	id      contract.RequestID
+	account contract.AccountID
+	cost    contract.Tokens
+	until   time.Time
+}
+
+// NewFixedSplit returns the baseline policy; nothing is granted before the
+// contracts and members are set.
+func NewFixedSplit(_ instance.Identity, opts Options) *FixedSplit {
+	return &FixedSplit{opts: opts, buckets: make(map[contract.AccountID]*bucket)}
+}
+
+// SetContracts implements Policy.
+func (f *FixedSplit) SetContracts(now time.Time, rev contract.Revision, accounts map[contract.AccountID]contract.ClientAccount) {
+	if f.accounts != nil && rev <= f.revision {
+		return
+	}
+	f.accrueAll(now)
+	f.revision, f.accounts = rev, accounts
+	for id := range f.buckets {
+		if _, ok := accounts[id]; !ok {
+			delete(f.buckets, id)
+		}
+	}
+}
+
+// SetMembers implements Policy.
+func (f *FixedSplit) SetMembers(now time.Time, members []instance.Identity) {
+	f.accrueAll(now)
+	f.members = len(members)
+}
+
+// Admit implements Policy.
+func (f *FixedSplit) Admit(now time.Time, ticket contract.RequestID, account contract.AccountID, cost contract.Tokens, patience time.Duration) Verdict {
+	perSecond, burst := f.share(account)
+	if float64(cost) > burst {
+		return Verdict{State: Refused}
+	}
+	b := f.bucket(now, account)
+	if b.tokens >= float64(cost) {
+		b.tokens -= float64(cost)
+		return Verdict{State: Granted}
+	}
+	wait := until(cost, b.tokens, perSecond)
+	if wait > patience {
+		return Verdict{State: Refused, After: wait}
+	}
+	f.waiting = append(f.waiting, fixedTicket{id: ticket, account: account, cost: cost, until: now.Add(patience)})
+	return Verdict{State: Waiting}
+}
+
+// Abandon implements Policy.
+func (f *FixedSplit) Abandon(_ time.Time, ticket contract.RequestID) {
+	for i, w := range f.waiting {
+		if w.id == ticket {
+			f.waiting = append(f.waiting[:i], f.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// Settle implements Policy.
+func (f *FixedSplit) Settle(now time.Time, account contract.AccountID, charged, used contract.Tokens) {
+	if _, ok := f.accounts[account]; !ok {
+		return
+	}
+	_, burst := f.share(account)
+	f.bucket(now, account).give(float64(charged-used), burst)
+}
+
+// Handle implements Policy; there are no messages.
+func (f *FixedSplit) Handle(time.Time, instance.Identity, Message) Result {
+	return Result{}
+}
+
+// Tick implements Policy.
+func (f *FixedSplit) Tick(now time.Time) Result {
+	var result Result
+	kept := f.waiting[:0]
+	for _, w := range f.waiting {
+		b := f.bucket(now, w.account)
+		perSecond, _ := f.share(w.account)
+		switch {
+		case b.tokens >= float64(w.cost):
+			b.tokens -= float64(w.cost)
+			result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: true})
+		case !now.Before(w.until):
+			after := until(w.cost, b.tokens, perSecond)
+			result.Decided = append(result.Decided, Decided{Ticket: w.id, After: after})
+		default:
+			kept = append(kept, w)
+		}
+	}
+	f.waiting = kept
+	return result
+}
+
+// HandBack implements Policy; there is nothing to hand back.
+func (f *FixedSplit) HandBack(time.Time) []Outgoing {
+	return nil
+}
+
+// share is this entry's part of an account's rate and burst.
+func (f *FixedSplit) share(account contract.AccountID) (perSecond, burst float64) {
+	parts := f.opts.Entries
+	if parts == 0 {
+		parts = f.members
+	}
+	if parts == 0 {
+		return 0, 0
+	}
+	limit := f.accounts[account].Rate
+	return float64(limit.PerSecond) / float64(parts), float64(limit.Burst) / float64(parts)
+}
+
+// bucket finds an account's bucket, brought up to now. A new one starts full:
+// nobody but this entry spends its part. An entry that restarts gets its burst
+// again, which is one reason why this policy is only a baseline.
+func (f *FixedSplit) bucket(now time.Time, account contract.AccountID) *bucket {
+	perSecond, burst := f.share(account)
+	b, ok := f.buckets[account]
+	if !ok {
+		b = &bucket{tokens: burst, at: now}
+		f.buckets[account] = b
+	}
+	b.accrue(now, perSecond, burst)
+	return b
+}
+
+// accrueAll brings all buckets up to now before the shares change.
+func (f *FixedSplit) accrueAll(now time.Time) {
+	for account, b := range f.buckets {
+		perSecond, burst := f.share(account)
+		b.accrue(now, perSecond, burst)
+	}
+}
--- /dev/null
+++ b/contract/rate/message.go
@@ -0,0 +1,4 @@
+package rate
+
+// Message is what entries tell each other about rates.
+type Message struct{}
