Add the entry, the sidecar and the peer link between them

Cause: the path from caller to engine needs its two processes. Change: a request is a row of a shared table and each step of its life a work item of the pool: admit, reserve, prefill, decode, deliver, finish. The sidecar grants, keeps output until its entry has acknowledged it, and frees what nobody renews. One poll a pair of entry and sidecar renews all grants and carries all output. Messages go over net/rpc; the decisions import none of it. Ruled out: a stream per call between entry and sidecar, since renewals would then cost a message per call.

--- /dev/null
+++ b/instance/entry/timers.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+)
+
+// Times of an entry's recurring work.
+const (
+	// TickEvery is the time between two looks at the queues and the rates.
+	TickEvery = 25 * time.Millisecond
+	// RefreshEvery is the time between two reads of the configuration, of the
+	// lagging list, and of the load of watched upstreams.
+	RefreshEvery = time.Second
+)
+
+// startTimers starts the recurring work.
+func (e *Entry) startTimers() {
+	e.pool.Resume(e.tick)
+	e.pool.Resume(e.refresh)
+}
+
+// tick looks at what time changes.
+func (e *Entry) tick(h *table.Held) []pool.Effect {
+	e.pool.After(TickEvery, e.tick)
+	effects := e.sweepQueues(h)
+	return append(effects, e.tickRates(h)...)
+}
+
+// tickRates lets the rates level between entries and decides who waited.
+func (e *Entry) tickRates(h *table.Held) (effects []pool.Effect) {
+	now := e.clock.Now()
+	var result rate.Result
+	e.rates.With(h, func(p *rate.Policy) { result = (*p).Tick(now) })
+	return e.decided(h, result)
+}
+
+// decided goes on with requests that waited for their account's tokens.
+func (e *Entry) decided(h *table.Held, result rate.Result) []pool.Effect {
+	effects := e.sendRates(h, result.Out)
+	for _, d := range result.Decided {
+		effects = append(effects, e.decidedOne(h, d)...)
+	}
+	return effects
+}
+
+func (e *Entry) decidedOne(h *table.Held, d rate.Decided) []pool.Effect {
+	if !d.Granted {
+		refusal := contract.RefuseRepeat(contract.CodeRateLimited, d.After, "the client account is over its rate")
+		return e.finish(h, d.Ticket, refusal)
+	}
+	var cost contract.Tokens
+	if !e.update(h, d.Ticket, func(r *request) { cost = r.Cost() }) {
+		return nil
+	}
+	return e.charged(h, d.Ticket, cost)
+}
+
+// refresh reads what others publish.
+func (e *Entry) refresh(h *table.Held) []pool.Effect {
+	e.pool.After(RefreshEvery, e.refresh)
+	effects := []pool.Effect{e.loadConfig(h)}
+	if e.instances != nil {
+		effects = append(effects, e.readInstances())
+	}
+	return append(effects, e.watch(h)...)
+}
+
+// loadConfig reads the configuration's newest revision.
+func (e *Entry) loadConfig(h *table.Held) pool.Effect {
+	have := e.snapshot(h)
+	return pool.Effect{Lane: lanePlatform, Perform: func(ctx context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+		defer cancel()
+		next, err := e.source.Load(ctx, have)
+		if err != nil {
+			e.log.Warn("configuration not read", "error", err)
+			return nil
+		}
+		return func(h *table.Held) []pool.Effect { return e.install(h, next) }
+	}}
+}
+
+// install puts a configuration in force if it is newer. Requests whose key was
+// withdrawn end.
+func (e *Entry) install(h *table.Held, next *config.Snapshot) (effects []pool.Effect) {
+	newer := false
+	e.config.With(h, func(s **config.Snapshot) {
+		newer = next.Revision > (*s).Revision
+		if newer {
+			*s = next
+		}
+	})
+	if !newer {
+		return nil
+	}
+	now := e.clock.Now()
+	e.rates.With(h, func(p *rate.Policy) { (*p).SetContracts(now, next.Revision, next.Accounts) })
+	e.board.With(h, func(b **placement.Board) { (*b).SetUpstreams(now, next.Upstreams) })
+	e.log.Info("configuration in force", "revision", next.Revision)
+	e.life.Advance(instance.Serving)
+	return e.cutWithdrawn(h, next)
+}
+
+// cutWithdrawn ends the requests whose key no longer works.
+func (e *Entry) cutWithdrawn(h *table.Held, next *config.Snapshot) (effects []pool.Effect) {
+	cut := make(map[contract.RequestID]*contract.Refusal)
+	e.requests.Each(h, func(rows map[contract.RequestID]*request) {
+		for id, r := range rows {
+			if r.state == stateEnded || r.Route.Open {
+				continue
+			}
+			if _, refusal := next.CheckKey(r.Key); refusal != nil {
+				refusal.Ran = r.cutShort(nil).Ran
+				cut[id] = refusal
+			}
+		}
+	})
+	for id, refusal := range cut {
+		effects = append(effects, e.finish(h, id, refusal)...)
+	}
+	return effects
+}
+
+// readInstances reads the lagging list of instances.
+func (e *Entry) readInstances() pool.Effect {
+	return pool.Effect{Lane: lanePlatform, Perform: func(ctx context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+		defer cancel()
+		listed, err := e.instances.List(ctx)
+		if err != nil {
+			e.log.Warn("list of instances not read", "error", err)
+			return nil
+		}
+		return func(h *table.Held) []pool.Effect { return e.listed(h, listed) }
+	}}
+}
+
+// listed notes which upstreams are leaving.
+func (e *Entry) listed(h *table.Held, listed []platform.Listed) []pool.Effect {
+	now := e.clock.Now()
+	var leaving []upstream.ID
+	for _, l := range listed {
+		if l.Kind == "sidecar" && l.Leaving {
+			leaving = append(leaving, upstream.ID(l.Name))
+		}
+	}
+	e.board.With(h, func(b **placement.Board) { (*b).SetLeaving(now, leaving) })
+	return nil
+}
+
+// watch asks the watched upstreams that have no call of this entry for their
+// load; the others say it with their replies.
+func (e *Entry) watch(h *table.Held) (effects []pool.Effect) {
+	now := e.clock.Now()
+	var watched []placement.Choice
+	e.board.With(h, func(b **placement.Board) { watched = (*b).Watched(now) })
+	header := e.header(h)
+	for _, choice := range watched {
+		if e.beginWatch(h, choice.Addr) {
+			effects = append(effects, e.poll(choice.Addr, nil, header, 0))
+		}
+	}
+	return effects
+}
+
+// beginWatch claims the poll of a sidecar; it reports false if one runs.
+func (e *Entry) beginWatch(h *table.Held, addr string) (begun bool) {
+	e.pollers.With(h, func(pollers *map[string]*poller) {
+		if _, there := (*pollers)[addr]; there {
+			return
+		}
+		(*pollers)[addr] = &poller{calls: make(map[contract.CallID]bool), active: true}
+		begun = true
+	})
+	return begun
+}
--- /dev/null
+++ b/instance/sidecar/generate.go
@@ -0,0 +1,285 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Prefill implements peer.Sidecar.
+func (s *Sidecar) Prefill(ctx context.Context, q *peer.PrefillRequest) (*peer.PrefillReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.PrefillReply)) []pool.Effect {
+		return s.prefill(h, q, answer)
+	})
+}
+
+// prefill accepts a prompt and starts it at its time.
+func (s *Sidecar) prefill(h *table.Held, q *peer.PrefillRequest, answer func(*peer.PrefillReply)) []pool.Effect {
+	refuse := func(h *table.Held, refusal *contract.Refusal) []pool.Effect {
+		answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		return nil
+	}
+	if s.engine == nil {
+		return refuse(h, contract.Refuse(contract.CodeNoUpstream, "no engine beside this sidecar"))
+	}
+	refusal := s.refuseNewWork()
+	if refusal == nil {
+		s.ledger.With(h, func(l **engine.Ledger) {
+			refusal = (*l).AcceptPrefill(s.clock.Now(), engine.Ask{
+				Call:        q.Call,
+				Owner:       q.From,
+				Account:     q.Account,
+				Fingerprint: q.Fingerprint,
+				Tokens:      q.Tokens,
+				Priority:    q.Priority,
+			})
+		})
+	}
+	if refusal != nil {
+		return refuse(h, refusal)
+	}
+	r := &running{call: q.Call, owner: q.From.Name}
+	if !s.begin(h, r) {
+		s.release(h, q.Call)
+		return refuse(h, contract.Refuse(contract.CodeStaleGrant, "the request already runs here"))
+	}
+	start := s.prefillAtEngine(q, r, answer)
+	if q.StartIn <= 0 {
+		return []pool.Effect{start}
+	}
+	s.pool.After(q.StartIn, func(*table.Held) []pool.Effect { return []pool.Effect{start} })
+	return nil
+}
+
+// prefillAtEngine is the call of the engine and what follows from it.
+func (s *Sidecar) prefillAtEngine(q *peer.PrefillRequest, r *running, answer func(*peer.PrefillReply)) pool.Effect {
+	finish := func(handle link.Handle, refusal *contract.Refusal) pool.Step {
+		return func(h *table.Held) []pool.Effect {
+			s.end(h, r)
+			s.release(h, q.Call)
+			answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Handle: handle, Refusal: refusal})
+			return nil
+		}
+	}
+	perform := func(ctx context.Context) pool.Step {
+		ctx = s.attach(ctx, r)
+		ctx, cancel := context.WithTimeout(ctx, q.Within)
+		defer cancel()
+		handle, err := s.engine.Prefill(ctx, link.Prefill{
+			Call:      q.Call,
+			Model:     q.Model,
+			Prompt:    q.Prompt,
+			Priority:  q.Priority,
+			Pseudonym: q.Pseudonym,
+		})
+		return finish(handle, s.prefillRefusal(q.Call, err))
+	}
+	return pool.Effect{
+		Lane:    lanePrefill,
+		Perform: perform,
+		OnPanic: func(any) pool.Step {
+			return finish(link.Handle{}, &contract.Refusal{Code: contract.CodeInternal, Ran: contract.RanUnknown, Reason: "internal error"})
+		},
+	}
+}
+
+// prefillRefusal turns an engine's error into a refusal. A prefill leaves no
+// effect behind, so one that failed counts as not run and may be repeated.
+func (s *Sidecar) prefillRefusal(call contract.CallID, err error) *contract.Refusal {
+	if err == nil {
+		return nil
+	}
+	s.log.Warn("prefill failed", "request", call.Request, "attempt", call.Attempt, "error", err)
+	return engineRefusal(err)
+}
+
+// engineRefusal turns the errors of the upstream link into refusals.
+func engineRefusal(err error) *contract.Refusal {
+	switch {
+	case errors.Is(err, link.ErrNotSent), errors.Is(err, link.ErrFull):
+		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, err.Error())
+	case errors.Is(err, link.ErrRejected):
+		return &contract.Refusal{Code: contract.CodeUpstreamFailed, Ran: contract.RanNo, Reason: err.Error()}
+	case errors.Is(err, context.Canceled):
+		return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanUnknown, Reason: "canceled"}
+	case errors.Is(err, context.DeadlineExceeded):
+		return &contract.Refusal{Code: contract.CodeDeadline, Ran: contract.RanUnknown, Repeat: true, Reason: "the upstream took too long"}
+	default:
+		return &contract.Refusal{Code: contract.CodeUpstreamFailed, Ran: contract.RanUnknown, Repeat: true, Reason: err.Error()}
+	}
+}
+
+// Decode implements peer.Sidecar.
+func (s *Sidecar) Decode(ctx context.Context, q *peer.DecodeRequest) (*peer.DecodeReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.DecodeReply)) []pool.Effect {
+		refusal, effects := s.decode(h, q)
+		answer(&peer.DecodeReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		return effects
+	})
+}
+
+// decode starts output under a live grant.
+func (s *Sidecar) decode(h *table.Held, q *peer.DecodeRequest) (*contract.Refusal, []pool.Effect) {
+	if s.engine == nil {
+		return contract.Refuse(contract.CodeNoUpstream, "no engine beside this sidecar"), nil
+	}
+	held := false
+	s.ledger.With(h, func(l **engine.Ledger) { held = (*l).Holds(s.clock.Now(), q.Call) })
+	if !held {
+		return contract.RefuseRepeat(contract.CodeStaleGrant, 0, "the grant has run out"), nil
+	}
+	r := &running{call: q.Call, owner: q.From.Name}
+	if !s.begin(h, r) {
+		return contract.Refuse(contract.CodeStaleGrant, "the request already runs here"), nil
+	}
+	s.openStream(h, q.From, q.Call, q.Offset)
+	return nil, []pool.Effect{s.decodeAtEngine(q, r)}
+}
+
+// decodeAtEngine streams a call's output into the outbox of its entry.
+func (s *Sidecar) decodeAtEngine(q *peer.DecodeRequest, r *running) pool.Effect {
+	finish := func(refusal *contract.Refusal) pool.Step {
+		return func(h *table.Held) []pool.Effect {
+			s.end(h, r)
+			s.release(h, q.Call)
+			if refusal != nil {
+				s.put(h, q.From, contract.Chunk{Call: q.Call, Done: true, Failure: refusal})
+			}
+			return nil
+		}
+	}
+	perform := func(ctx context.Context) pool.Step {
+		ctx = s.attach(ctx, r)
+		err := s.stream(ctx, q)
+		if err == nil {
+			return finish(nil)
+		}
+		s.log.Warn("decode failed", "request", q.Call.Request, "attempt", q.Call.Attempt, "error", err)
+		return finish(decodeRefusal(err))
+	}
+	return pool.Effect{
+		Lane:    laneDecode,
+		Perform: perform,
+		OnPanic: func(any) pool.Step {
+			return finish(&contract.Refusal{Code: contract.CodeInternal, Ran: contract.RanUnknown, Reason: "internal error"})
+		},
+	}
+}
+
+// resumeTries bounds how often a broken stream is resumed at the engine.
+const resumeTries = 3
+
+// resumeWait is the time before a broken stream is resumed.
+const resumeWait = 50 * time.Millisecond
+
+// stream reads a call's output; a stream that breaks while the engine still
+// knows the call is resumed where it broke.
+func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest) error {
+	held := table.NewHeld()
+	next := q.Offset
+	done := false
+	emit := func(chunk contract.Chunk) error {
+		chunk.Call = q.Call
+		if fresh, ok := after(chunk, next); ok {
+			s.put(held, q.From, fresh)
+			next = fresh.Offset + contract.Tokens(len(fresh.Texts))
+			done = done || fresh.Done
+		}
+		return nil
+	}
+	err := s.engine.Decode(ctx, link.Decode{
+		Call:      q.Call,
+		Model:     q.Model,
+		Handle:    q.Handle,
+		MaxTokens: q.MaxTokens,
+		Pseudonym: q.Pseudonym,
+		Seed:      q.Seed,
+		Offset:    q.Offset,
+	}, emit)
+	for try := 0; try < resumeTries && errors.Is(err, link.ErrGone) && !done; try++ {
+		if !pause(ctx, resumeWait) {
+			return context.Cause(ctx)
+		}
+		err = s.engine.Resume(ctx, q.Call, next, emit)
+	}
+	if err == nil && !done {
+		return link.ErrGone
+	}
+	return err
+}
+
+// after cuts what was delivered already from a chunk; ok is false if nothing is
+// left of it.
+func after(chunk contract.Chunk, next contract.Tokens) (fresh contract.Chunk, ok bool) {
+	known := next - chunk.Offset
+	if known <= 0 {
+		return chunk, true
+	}
+	if known > contract.Tokens(len(chunk.Texts)) {
+		return chunk, false
+	}
+	chunk.Offset = next
+	chunk.Texts = chunk.Texts[known:]
+	return chunk, len(chunk.Texts) > 0 || chunk.Done
+}
+
+// pause waits in a link's goroutine; it reports false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// decodeRefusal is engineRefusal, with evicted KV caches told apart: the entry
+// then prefills again.
+func decodeRefusal(err error) *contract.Refusal {
+	if errors.Is(err, link.ErrEvicted) {
+		return contract.RefuseRepeat(contract.CodeStaleGrant, 0, "the KV cache was evicted before it was imported")
+	}
+	return engineRefusal(err)
+}
+
+// Drain stops new work and waits until the running calls have ended and their
+// entries have the output, or ctx ends.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	s.life.Advance(instance.Draining)
+	s.ledger.With(table.NewHeld(), func(l **engine.Ledger) { (*l).SetLeaving(true) })
+	ticker := time.NewTicker(SweepEvery)
+	defer ticker.Stop()
+	for !s.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// idle reports whether nothing runs and no output waits.
+func (s *Sidecar) idle() bool {
+	h := table.NewHeld()
+	if s.calls.Len(h) > 0 {
+		return false
+	}
+	waiting := 0
+	s.output.Each(h, func(rows map[instance.Name]*outbox) {
+		for _, box := range rows {
+			waiting += len(box.streams)
+		}
+	})
+	return waiting == 0
+}
--- /dev/null
+++ b/instance/sidecar/reserve.go
@@ -0,0 +1,77 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Reserve implements peer.Sidecar.
+func (s *Sidecar) Reserve(ctx context.Context, q *peer.ReserveRequest) (*peer.ReserveReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.ReserveReply)) []pool.Effect {
+		answer(s.reserve(h, q))
+		return nil
+	})
+}
+
+func (s *Sidecar) reserve(h *table.Held, q *peer.ReserveRequest) *peer.ReserveReply {
+	reply := &peer.ReserveReply{Header: s.header()}
+	reply.Refusal = s.refuseNewWork()
+	if reply.Refusal == nil {
+		var grant engine.Grant
+		s.ledger.With(h, func(l **engine.Ledger) {
+			grant, reply.Refusal = (*l).Reserve(s.clock.Now(), engine.Ask{
+				Call:         q.Call,
+				Owner:        q.From,
+				Account:      q.Account,
+				Fingerprint:  q.Fingerprint,
+				Blocks:       q.Blocks,
+				ImportBlocks: q.ImportBlocks,
+				Priority:     q.Priority,
+				ReadyIn:      q.ReadyIn,
+			})
+		})
+		reply.WindowIn = grant.WindowIn
+		reply.Lease = grant.Lease
+	}
+	reply.Load = s.load(h)
+	return reply
+}
+
+// refuseNewWork says whether the process still takes work.
+func (s *Sidecar) refuseNewWork() *contract.Refusal {
+	if s.life.State() == instance.Serving {
+		return nil
+	}
+	return contract.RefuseRepeat(contract.CodeDraining, 0, "the upstream takes no new work")
+}
+
+// Cancel implements peer.Sidecar.
+func (s *Sidecar) Cancel(ctx context.Context, q *peer.CancelRequest) (*peer.CancelReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.CancelReply)) []pool.Effect {
+		for _, call := range q.Calls {
+			s.closeStream(h, q.From.Name, call)
+		}
+		effects := s.abort(h, q.Calls)
+		answer(&peer.CancelReply{Header: s.header(), Load: s.load(h)})
+		return effects
+	})
+}
+
+// Order implements peer.Sidecar.
+func (s *Sidecar) Order(context.Context, *peer.OrderRequest) (*peer.OrderReply, error) {
+	return &peer.OrderReply{
+		Header:  s.header(),
+		Refusal: contract.Refuse(contract.CodeNoUpstream, "orders are not taken here"),
+	}, nil
+}
+
+// Sync implements peer.Sidecar.
+func (s *Sidecar) Sync(context.Context, *peer.SyncRequest) (*peer.SyncReply, error) {
+	return &peer.SyncReply{Header: s.header()}, nil
+}
--- /dev/null
+++ b/instance/sidecar/running.go
@@ -0,0 +1,147 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// running is a call that the upstream works on. It is the row of the table of
+// calls; a request has at most one call here at a time.
+type running struct {
+	call  contract.CallID
+	owner instance.Name
+	// once calls go on when their caller is gone.
+	once bool
+	// cancel ends the call to the upstream; nil until it was started.
+	cancel   context.CancelFunc
+	canceled bool
+}
+
+// begin enters a call; ok is false if an attempt of the request is there.
+func (s *Sidecar) begin(h *table.Held, r *running) (ok bool) {
+	s.calls.With(h, r.call.Request, func(rows map[contract.RequestID]*running) {
+		if _, there := rows[r.call.Request]; there {
+			return
+		}
+		rows[r.call.Request] = r
+		ok = true
+	})
+	return ok
+}
+
+// attach gives a running call its context. A call that was canceled before gets
+// one that has ended.
+func (s *Sidecar) attach(ctx context.Context, r *running) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	s.calls.With(table.NewHeld(), r.call.Request, func(map[contract.RequestID]*running) {
+		r.cancel = cancel
+		if r.canceled {
+			cancel()
+		}
+	})
+	return ctx
+}
+
+// end removes a call and frees its context.
+func (s *Sidecar) end(h *table.Held, r *running) {
+	s.calls.With(h, r.call.Request, func(rows map[contract.RequestID]*running) {
+		if rows[r.call.Request] == r {
+			delete(rows, r.call.Request)
+		}
+		if r.cancel != nil {
+			r.cancel()
+		}
+	})
+}
+
+// abort ends the work on calls at the upstream. Grants are given back when the
+// upstream has said that it freed the memory, so no new grant is made before.
+func (s *Sidecar) abort(h *table.Held, calls []contract.CallID) []pool.Effect {
+	var effects []pool.Effect
+	for _, call := range calls {
+		if s.stop(h, call) {
+			effects = append(effects, s.cancelAtUpstream(call))
+		}
+	}
+	return effects
+}
+
+// stop marks a call as canceled and reports whether the upstream has to be told.
+// Calls that may not be repeated run on, so that their outcome is known.
+func (s *Sidecar) stop(h *table.Held, call contract.CallID) (tell bool) {
+	tell = true
+	s.calls.With(h, call.Request, func(rows map[contract.RequestID]*running) {
+		r, there := rows[call.Request]
+		if !there || r.call != call {
+			return
+		}
+		if r.once {
+			tell = false
+			return
+		}
+		r.canceled = true
+		if r.cancel != nil {
+			r.cancel()
+		}
+	})
+	return tell
+}
+
+// cancelAtUpstream tells the engine to free a call, again until it hears.
+func (s *Sidecar) cancelAtUpstream(call contract.CallID) pool.Effect {
+	perform := func(ctx context.Context) pool.Step {
+		if s.engine == nil {
+			return s.released(call)
+		}
+		ctx, cancel := context.WithTimeout(ctx, CancelTimeout)
+		defer cancel()
+		if err := s.engine.Cancel(ctx, call); err != nil {
+			s.log.Warn("cancel failed", "request", call.Request, "attempt", call.Attempt, "error", err)
+			return s.cancelLater(call)
+		}
+		return s.released(call)
+	}
+	return pool.Effect{Lane: laneCancel, Perform: perform}
+}
+
+// cancelLater sends a failed cancel again after CancelRetry.
+func (s *Sidecar) cancelLater(call contract.CallID) pool.Step {
+	again := func(*table.Held) []pool.Effect {
+		return []pool.Effect{s.cancelAtUpstream(call)}
+	}
+	return func(*table.Held) []pool.Effect {
+		s.pool.After(CancelRetry, again)
+		return nil
+	}
+}
+
+// released gives a call's grant back.
+func (s *Sidecar) released(call contract.CallID) pool.Step {
+	return func(h *table.Held) []pool.Effect {
+		s.release(h, call)
+		return nil
+	}
+}
+
+// release gives a call's grant back.
+func (s *Sidecar) release(h *table.Held, call contract.CallID) {
+	s.ledger.With(h, func(l **engine.Ledger) { (*l).Release(s.clock.Now(), call) })
+}
+
+// sweep ends calls whose grants were not renewed and drops old output.
+func (s *Sidecar) sweep(h *table.Held) []pool.Effect {
+	var expired []contract.CallID
+	s.ledger.With(h, func(l **engine.Ledger) { expired = (*l).Expire(s.clock.Now()) })
+	for _, call := range expired {
+		s.log.Info("lease ran out", "request", call.Request, "attempt", call.Attempt)
+	}
+	effects := s.abort(h, expired)
+	s.dropOldOutput(h)
+	s.pool.After(SweepEvery, s.sweep)
+	return effects
+}
--- /dev/null
+++ b/instance/sidecar/service.go
@@ -0,0 +1,86 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Call implements peer.Sidecar.
+func (s *Sidecar) Call(ctx context.Context, q *peer.ServiceRequest) (*peer.ServiceReply, error) {
+	received := s.clock.Now()
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.ServiceReply)) []pool.Effect {
+		return s.serve(h, q, received, answer)
+	})
+}
+
+// serve takes a slot and sends the call. The time after which it must not be
+// sent is checked again right before it is.
+func (s *Sidecar) serve(h *table.Held, q *peer.ServiceRequest, received time.Time, answer func(*peer.ServiceReply)) []pool.Effect {
+	reply := func(h *table.Held, a contract.ServiceAnswer, refusal *contract.Refusal) {
+		answer(&peer.ServiceReply{Header: s.header(), Load: s.load(h), Answer: a, Refusal: refusal})
+	}
+	if s.service == nil {
+		reply(h, contract.ServiceAnswer{}, contract.Refuse(contract.CodeNoUpstream, "no service beside this sidecar"))
+		return nil
+	}
+	refusal := s.refuseNewWork()
+	if refusal == nil {
+		s.ledger.With(h, func(l **engine.Ledger) {
+			_, refusal = (*l).Reserve(s.clock.Now(), engine.Ask{Call: q.Call, Owner: q.From, Fingerprint: q.Fingerprint})
+		})
+	}
+	if refusal != nil {
+		reply(h, contract.ServiceAnswer{}, refusal)
+		return nil
+	}
+	r := &running{call: q.Call, owner: q.From.Name, once: q.Once}
+	if !s.begin(h, r) {
+		reply(h, contract.ServiceAnswer{}, &contract.Refusal{Code: contract.CodeOutcomeUnknown, Ran: contract.RanUnknown, Reason: "the request already runs here"})
+		return nil
+	}
+	finish := func(a contract.ServiceAnswer, refusal *contract.Refusal) pool.Step {
+		return func(h *table.Held) []pool.Effect {
+			s.end(h, r)
+			s.release(h, q.Call)
+			reply(h, a, refusal)
+			return nil
+		}
+	}
+	perform := func(ctx context.Context) pool.Step {
+		if s.clock.Now().Sub(received) > q.SendWithin {
+			return finish(contract.ServiceAnswer{}, contract.RefuseRepeat(contract.CodeDeadline, 0, "too late to send the call"))
+		}
+		ctx = s.attach(ctx, r)
+		ctx, cancel := context.WithTimeout(ctx, q.Within)
+		defer cancel()
+		a, err := s.service.Call(ctx, q.Call, q.Pseudonym, q.Service)
+		return finish(a, serviceRefusal(err))
+	}
+	return []pool.Effect{{
+		Lane:    laneService,
+		Perform: perform,
+		OnPanic: func(any) pool.Step {
+			return finish(contract.ServiceAnswer{}, &contract.Refusal{Code: contract.CodeInternal, Ran: contract.RanUnknown, Reason: "internal error"})
+		},
+	}}
+}
+
+// serviceRefusal says what is known of a call that got no answer.
+func serviceRefusal(err error) *contract.Refusal {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, link.ErrNotSent):
+		return contract.RefuseRepeat(contract.CodeUpstreamFailed, 0, err.Error())
+	default:
+		return &contract.Refusal{Code: contract.CodeOutcomeUnknown, Ran: contract.RanUnknown, Reason: err.Error()}
+	}
+}
--- /dev/null
+++ b/link/peer/entry.go
@@ -0,0 +1,26 @@
+package peer
+
+import "context"
+
+// Entry is what an entry does for other entries and for sidecars.
+type Entry interface {
+	// Heartbeat tells that the sender is alive.
+	Heartbeat(ctx context.Context, q *HeartbeatRequest) (*HeartbeatReply, error)
+	// Sync hands over a newer configuration, in either direction.
+	Sync(ctx context.Context, q *SyncRequest) (*SyncReply, error)
+}
+
+// HeartbeatRequest carries the sender's header and where it is reached.
+type HeartbeatRequest struct {
+	Header
+	// Kind is "entry" or "sidecar"; Addr is the sender's peer listener.
+	Kind string
+	Addr string
+	// Leaving says that the sender takes no new work.
+	Leaving bool
+}
+
+// HeartbeatReply carries the receiver's header.
+type HeartbeatReply struct {
+	Header
+}
--- /dev/null
+++ b/link/peer/rpc/client.go
@@ -0,0 +1,136 @@
+// Package rpc carries the messages of package peer over net/rpc with its gob
+// encoding, on TCP or TLS connections.
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+)
+
+// DialTimeout bounds the opening of a connection.
+const DialTimeout = 500 * time.Millisecond
+
+// Dialer opens a connection to a peer.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// PlainDialer opens TCP connections without TLS.
+func PlainDialer(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Dials keeps one connection to each peer and opens it again when it broke.
+type Dials struct {
+	dial Dialer
+
+	mu    sync.Mutex
+	conns map[string]*conn
+}
+
+// conn is one connection, or the attempt to open it.
+type conn struct {
+	opened chan struct{}
+	client *rpc.Client
+	err    error
+}
+
+// NewDials returns an empty set of connections.
+func NewDials(dial Dialer) *Dials {
+	return &Dials{dial: dial, conns: make(map[string]*conn)}
+}
+
+// Close closes all connections; running calls fail.
+func (d *Dials) Close() {
+	d.mu.Lock()
+	conns := d.conns
+	d.conns = make(map[string]*conn)
+	d.mu.Unlock()
+	for _, c := range conns {
+		<-c.opened
+		if c.client != nil {
+			_ = c.client.Close()
+		}
+	}
+}
+
+// Call makes one call of a peer's method. Its error wraps ErrNotSent,
+// ErrNoAnswer or ErrRefused of package peer.
+func (d *Dials) Call(ctx context.Context, addr, method string, request, reply any) error {
+	fail := func(kind error, cause error) error {
+		return &peer.CallError{Peer: addr, Method: method, Err: errors.Join(kind, cause)}
+	}
+	c, err := d.connect(ctx, addr)
+	if err != nil {
+		return fail(peer.ErrNotSent, err)
+	}
+	call := c.client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+	case <-ctx.Done():
+		return fail(peer.ErrNoAnswer, context.Cause(ctx))
+	}
+	var refused rpc.ServerError
+	switch {
+	case call.Error == nil:
+		return nil
+	case errors.As(call.Error, &refused):
+		return fail(peer.ErrRefused, call.Error)
+	case errors.Is(call.Error, rpc.ErrShutdown):
+		// The connection had broken before this call, so nothing was written.
+		d.forget(addr, c)
+		return fail(peer.ErrNotSent, call.Error)
+	default:
+		d.forget(addr, c)
+		return fail(peer.ErrNoAnswer, call.Error)
+	}
+}
+
+// connect returns the peer's connection, opening it if there is none.
+func (d *Dials) connect(ctx context.Context, addr string) (*conn, error) {
+	d.mu.Lock()
+	c, ok := d.conns[addr]
+	if !ok {
+		c = &conn{opened: make(chan struct{})}
+		d.conns[addr] = c
+		go d.open(addr, c)
+	}
+	d.mu.Unlock()
+	select {
+	case <-c.opened:
+		return c, c.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+// open dials; a failure is forgotten so that the next call dials again.
+func (d *Dials) open(addr string, c *conn) {
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	raw, err := d.dial(ctx, addr)
+	if err != nil {
+		c.err = err
+		d.forget(addr, c)
+	} else {
+		c.client = rpc.NewClient(raw)
+	}
+	close(c.opened)
+}
+
+// forget drops a broken connection.
+func (d *Dials) forget(addr string, c *conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.conns[addr] == c {
+		delete(d.conns, addr)
+	}
+	if c.client != nil {
+		_ = c.client.Close()
+	}
+}
--- /dev/null
+++ b/link/peer/rpc/entry.go
@@ -0,0 +1,28 @@
+package rpc
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+)
+
+// Entry calls one entry. It implements peer.Entry.
+type Entry struct {
+	dials *Dials
+	addr  string
+}
+
+// Entry returns the caller of the entry at addr.
+func (d *Dials) Entry(addr string) peer.Entry {
+	return &Entry{dials: d, addr: addr}
+}
+
+// Heartbeat implements peer.Entry.
+func (e *Entry) Heartbeat(ctx context.Context, q *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	return call[peer.HeartbeatRequest, peer.HeartbeatReply](ctx, e.dials, e.addr, "Entry.Heartbeat", q)
+}
+
+// Sync implements peer.Entry.
+func (e *Entry) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
+	return call[peer.SyncRequest, peer.SyncReply](ctx, e.dials, e.addr, "Entry.Sync", q)
+}
--- /dev/null
+++ b/link/peer/rpc/sidecar.go
@@ -0,0 +1,67 @@
+package rpc
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+)
+
+// Sidecar calls one sidecar. It implements peer.Sidecar.
+type Sidecar struct {
+	dials *Dials
+	addr  string
+}
+
+// Sidecar returns the caller of the sidecar at addr.
+func (d *Dials) Sidecar(addr string) peer.Sidecar {
+	return &Sidecar{dials: d, addr: addr}
+}
+
+// call makes one call and returns its typed reply.
+func call[Q, R any](ctx context.Context, d *Dials, addr, method string, q *Q) (*R, error) {
+	reply := new(R)
+	if err := d.Call(ctx, addr, method, q, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// Reserve implements peer.Sidecar.
+func (s *Sidecar) Reserve(ctx context.Context, q *peer.ReserveRequest) (*peer.ReserveReply, error) {
+	return call[peer.ReserveRequest, peer.ReserveReply](ctx, s.dials, s.addr, "Sidecar.Reserve", q)
+}
+
+// Prefill implements peer.Sidecar.
+func (s *Sidecar) Prefill(ctx context.Context, q *peer.PrefillRequest) (*peer.PrefillReply, error) {
+	return call[peer.PrefillRequest, peer.PrefillReply](ctx, s.dials, s.addr, "Sidecar.Prefill", q)
+}
+
+// Decode implements peer.Sidecar.
+func (s *Sidecar) Decode(ctx context.Context, q *peer.DecodeRequest) (*peer.DecodeReply, error) {
+	return call[peer.DecodeRequest, peer.DecodeReply](ctx, s.dials, s.addr, "Sidecar.Decode", q)
+}
+
+// Call implements peer.Sidecar.
+func (s *Sidecar) Call(ctx context.Context, q *peer.ServiceRequest) (*peer.ServiceReply, error) {
+	return call[peer.ServiceRequest, peer.ServiceReply](ctx, s.dials, s.addr, "Sidecar.Call", q)
+}
+
+// Cancel implements peer.Sidecar.
+func (s *Sidecar) Cancel(ctx context.Context, q *peer.CancelRequest) (*peer.CancelReply, error) {
+	return call[peer.CancelRequest, peer.CancelReply](ctx, s.dials, s.addr, "Sidecar.Cancel", q)
+}
+
+// Poll implements peer.Sidecar.
+func (s *Sidecar) Poll(ctx context.Context, q *peer.PollRequest) (*peer.PollReply, error) {
+	return call[peer.PollRequest, peer.PollReply](ctx, s.dials, s.addr, "Sidecar.Poll", q)
+}
+
+// Order implements peer.Sidecar.
+func (s *Sidecar) Order(ctx context.Context, q *peer.OrderRequest) (*peer.OrderReply, error) {
+	return call[peer.OrderRequest, peer.OrderReply](ctx, s.dials, s.addr, "Sidecar.Order", q)
+}
+
+// Sync implements peer.Sidecar.
+func (s *Sidecar) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
+	return call[peer.SyncRequest, peer.SyncReply](ctx, s.dials, s.addr, "Sidecar.Sync", q)
+}
