Send a service the path in the form in which it came

The front end hands paths over escaped, and the service link escaped them a second time, so that "a%20b" reached the service as "a%2520b". The link now keeps the escaped form, and contract.ServiceCall says that this is the form. Seen: the suite's call with an escaped path failed before and passes now.

--- a/contract/request.go
+++ b/contract/request.go
@@ -38,7 +38,7 @@
 // ServiceCall is a call of a plain service.
 type ServiceCall struct {
 	Method string
-	// Path is below the route's prefix and starts with "/".
+	// Path is below the route's prefix, in its escaped form, and starts with "/".
 	Path        string
 	Query       string
 	ContentType string
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -199,7 +199,7 @@
 	if fate.mute || fate.life.Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	call := contract.ServiceCall{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: body}
+	call := contract.ServiceCall{Method: r.Method, Path: r.URL.EscapedPath(), Query: r.URL.RawQuery, Body: body}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, Expected(call))
 }
--- a/link/upstream/serviceapi/client.go
+++ b/link/upstream/serviceapi/client.go
@@ -71,7 +71,8 @@
 }
 
 // Call implements link.Service. Any answer of the service is an answer, whatever
-// its status.
+// its status. The call's path is in its escaped form and reaches the service as
+// it is.
 func (c *Client) Call(ctx context.Context, call contract.CallID, pseudonym string, q contract.ServiceCall) (contract.ServiceAnswer, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -100,8 +101,13 @@
 }
 
 func (c *Client) request(ctx context.Context, call contract.CallID, pseudonym string, q contract.ServiceCall) (*http.Request, error) {
+	plain, err := url.PathUnescape(q.Path)
+	if err != nil {
+		return nil, err
+	}
 	target := *c.base
-	target.Path += q.Path
+	target.RawPath = target.EscapedPath() + q.Path
+	target.Path += plain
 	target.RawQuery = q.Query
 	req, err := http.NewRequestWithContext(ctx, q.Method, target.String(), bytes.NewReader(q.Body))
 	if err != nil {
--- a/link/upstream/upstreamtest/service.go
+++ b/link/upstream/upstreamtest/service.go
@@ -64,7 +64,7 @@
 		ctx, cancel = context.WithTimeout(ctx, c.timeout)
 	}
 	defer cancel()
-	q := contract.ServiceCall{Method: method, Path: "/dispatch/ü b", Query: "a=1&b=%20", Body: []byte("7 coils of " + method)}
+	q := contract.ServiceCall{Method: method, Path: "/dispatch/%C3%BC%20b%2F7", Query: "a=1&b=%20", Body: []byte("7 coils of " + method)}
 	answer, err := client.Call(ctx, id(n), "account-17", q)
 	check(t, err, c.want)
 	if answer.Status != c.status {
