Bring up a whole fleet in one process, with real links between its parts

Runs of the whole path need the two workloads' places, engines, services and accounts. internal/fleet starts the stand-in platform, engines and services, a sidecar beside each and an entry in each availability zone, over the loopback with HTTP and net/rpc as in production, configured through the store. A zone can be cut off: what passes its border is held and goes on afterwards. internal/load makes requests as callers do.

Ruled out: in-process calls between the parts, which would leave the encodings untested. Delays between zones are not modelled.

Seen to fail: with the key sent as the pseudonym, 'was sent the key' appears.

--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,248 @@
+// Package fleet brings up a whole fleet in one process over the loopback: the
+// stand-ins, a sidecar beside each upstream, and entries, with real HTTP and
+// net/rpc between them. It can kill, pause and cut off its parts. It serves the
+// development program and tests.
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/memplatform"
+	standin "github.com/trefoilwalk/trefoilwalk/internal/standin/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Rates of the platform's store, in calls a second.
+const (
+	storeReads  = 2000
+	storeWrites = 500
+)
+
+// listLag is how far the list of instances lags.
+const listLag = 2 * time.Second
+
+// readyTimeout bounds the start of a fleet.
+const readyTimeout = 15 * time.Second
+
+// ErrNotReady means that the entries did not begin to serve in time.
+var ErrNotReady = errors.New("fleet: entries are not ready")
+
+// Options configure a fleet.
+type Options struct {
+	Workload Workload
+	Policy   Policy
+	Seed     uint64
+	Log      hclog.Logger
+	// OnEngineStart and OnEngineFree are told when a call starts to use an
+	// engine and when its memory is free. They must not block.
+	OnEngineStart, OnEngineFree func(call contract.CallID)
+	// OnServiceRun is told of each call that a service runs.
+	OnServiceRun func(call, body string)
+}
+
+// Policy names the ways in which entries decide.
+type Policy struct {
+	// Placement is a policy of package placement, Queue one of package fair,
+	// Rates one of package rate.
+	Placement, Queue, Rates string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Workload Workload
+	Platform *memplatform.Platform
+	Engines  []*EngineNode
+	Services []*ServiceNode
+	Entries  []*EntryNode
+	options  Options
+	network  *network
+	servers  []*http.Server
+	platform *rest.Client
+	store    *configstore.Store
+	storeURL string
+}
+
+// Start brings a fleet up and returns when its entries serve.
+func Start(ctx context.Context, o Options) (*Fleet, error) {
+	if o.Log == nil {
+		o.Log = hclog.NewNullLogger()
+	}
+	f := &Fleet{Workload: o.Workload, options: o, network: newNetwork(), Platform: memplatform.New()}
+	err := f.start(ctx)
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startPlatform(); err != nil {
+		return fmt.Errorf("platform: %w", err)
+	}
+	if err := f.startUpstreams(); err != nil {
+		return err
+	}
+	if err := f.configure(ctx); err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	for i, z := range f.Workload.Zones {
+		if err := f.startEntry(i, z); err != nil {
+			return fmt.Errorf("entry in %s: %w", z, err)
+		}
+	}
+	return f.waitReady(ctx)
+}
+
+func (f *Fleet) startPlatform() error {
+	f.Platform.Store.SetRates(storeReads, storeWrites)
+	f.Platform.Instances.SetLag(listLag)
+	l, err := f.network.listen(clients, "")
+	if err != nil {
+		return err
+	}
+	f.serve(l, standin.Handler(f.Platform))
+	f.storeURL = "http://" + l.Addr().String()
+	f.platform = rest.New(f.storeURL, nil)
+	f.store = configstore.New(f.platform.Table(), f.platform.Objects())
+	return nil
+}
+
+func (f *Fleet) startUpstreams() error {
+	roles := []struct {
+		role  upstream.Role
+		count int
+	}{
+		{upstream.RolePrefill, f.Workload.Prefills},
+		{upstream.RoleDecode, f.Workload.Decodes},
+	}
+	for _, r := range roles {
+		for i := range r.count {
+			if err := f.startEngine(r.role, i); err != nil {
+				return fmt.Errorf("%s engine %d: %w", r.role, i, err)
+			}
+		}
+	}
+	for i := range f.Workload.Runners {
+		if err := f.startService(i); err != nil {
+			return fmt.Errorf("service %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// place spreads instances over the zones.
+func (f *Fleet) place(i int) zone.Place {
+	zones := f.Workload.Zones
+	return zone.Place{Region: f.Workload.Region, Zone: zones[i%len(zones)]}
+}
+
+// configure writes the workload's contracts and upstreams to the store.
+func (f *Fleet) configure(ctx context.Context) error {
+	var commands []config.Command
+	for _, a := range f.Workload.Accounts {
+		commands = append(commands,
+			config.CreateAccount{Account: a.ClientAccount},
+			config.GrantKey{Hash: contract.HashKey(a.Key), Account: a.ID, Label: "main"})
+	}
+	for _, route := range f.Workload.Routes {
+		commands = append(commands, config.CreateRoute{Route: route})
+	}
+	for _, e := range f.Engines {
+		commands = append(commands, config.AddUpstream{Upstream: e.Upstream})
+	}
+	for _, s := range f.Services {
+		commands = append(commands, config.AddUpstream{Upstream: s.Upstream})
+	}
+	_, err := f.Change(ctx, config.Batch{Commands: commands})
+	return err
+}
+
+// Change applies a command to the configuration and returns the revision that
+// was accepted.
+func (f *Fleet) Change(ctx context.Context, command config.Command) (contract.Revision, error) {
+	loaded, err := f.store.Load(ctx, config.Empty())
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	next, err := config.Apply(loaded.Snapshot, command, "trefoil-dev", now)
+	if err != nil {
+		return 0, err
+	}
+	change := config.Change{Revision: next.Revision, By: next.ChangedBy, At: now, Command: command}
+	return next.Revision, f.store.Accept(ctx, loaded.Snapshot, change)
+}
+
+// waitReady waits until all entries serve.
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	for !f.ready() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ErrNotReady
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) ready() bool {
+	for _, e := range f.Entries {
+		if !e.Serving() {
+			return false
+		}
+	}
+	return true
+}
+
+// CutZone cuts an availability zone off from all others, callers and platform
+// included, or joins it again.
+func (f *Fleet) CutZone(z zone.AvailabilityZone, cut bool) {
+	f.network.setCut(z, cut)
+}
+
+// Transport makes HTTP calls as a caller does.
+func (f *Fleet) Transport() *http.Transport {
+	return f.network.transport(clients)
+}
+
+// Close ends everything.
+func (f *Fleet) Close() {
+	for _, z := range f.Workload.Zones {
+		f.network.setCut(z, false)
+	}
+	for _, e := range f.Entries {
+		e.Kill()
+	}
+	for _, e := range f.Engines {
+		e.close()
+	}
+	for _, s := range f.Services {
+		s.close()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	if f.platform != nil {
+		f.platform.Close()
+	}
+}
+
+// DefaultPolicy is how entries decide when nothing else is said.
+var DefaultPolicy = Policy{Placement: placement.PolicyReserve}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/fleet"
+	"github.com/trefoilwalk/trefoilwalk/internal/load"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/engine"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
+)
+
+func start(t *testing.T, name string) *fleet.Fleet {
+	t.Helper()
+	w, err := fleet.Find(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.SetRates(20, 2, 10*time.Second)
+	f, err := fleet.Start(t.Context(), fleet.Options{Workload: w, Policy: fleet.DefaultPolicy, Seed: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// TestAnswersOfAllEntries sends a streamed and a whole completion and a call
+// through each entry of each workload and checks the whole answers.
+func TestAnswersOfAllEntries(t *testing.T) {
+	for _, name := range []string{fleet.Wireworks, fleet.Imigongo} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, name)
+			client := load.NewClient(f.Transport())
+			for i, e := range f.Entries {
+				account := f.Workload.Accounts[i]
+				prompt := strings.Repeat(string(account.ID)+" ", 900)
+				for _, stream := range []bool{true, false} {
+					a := client.Generate(t.Context(), e.URL, load.Generate{
+						Key: account.Key, Model: f.Workload.Model, Prompt: prompt, MaxTokens: 10, Seed: int64(i), Stream: stream,
+					})
+					if want := strings.Join(engine.Expected(prompt, int64(i), 10), ""); !a.Whole || a.Text != want {
+						t.Errorf("entry %d, stream %v: got %+v, want text %q", i, stream, a, want)
+					}
+				}
+				path := f.Workload.FreePath + "coils"
+				a := client.Call(t.Context(), http.MethodPost, e.URL+path, account.Key, "", "12 coils")
+				want := service.Expected(contract.ServiceCall{Method: http.MethodPost, Path: "/coils", Body: []byte("12 coils")})
+				if a.Text != want {
+					t.Errorf("entry %d: got %+v, want %q", i, a, want)
+				}
+			}
+			checkNothingLeft(t, f)
+		})
+	}
+}
+
+// checkNothingLeft checks that no engine holds memory and no key was sent to an
+// upstream.
+func checkNothingLeft(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	time.Sleep(engine.DefaultEvictAfter + 500*time.Millisecond)
+	for _, e := range f.Engines {
+		if calls := e.Engine.Holding(); len(calls) > 0 {
+			t.Errorf("%s still holds %v", e.Upstream.ID, calls)
+		}
+	}
+	for _, a := range f.Workload.Accounts {
+		for _, e := range f.Engines {
+			if e.Engine.Received.Contains(a.Key) {
+				t.Errorf("%s was sent the key of %s", e.Upstream.ID, a.ID)
+			}
+		}
+		for _, s := range f.Services {
+			if s.Service.Received.Contains(a.Key) {
+				t.Errorf("%s was sent the key of %s", s.Upstream.ID, a.ID)
+			}
+		}
+	}
+}
+
+// TestCutZone checks that a zone that is cut off keeps callers of the others
+// served, and goes on when it is joined again.
+func TestCutZone(t *testing.T) {
+	f := start(t, fleet.Wireworks)
+	client := load.NewClient(f.Transport())
+	ask := func(e *fleet.EntryNode, timeout time.Duration) load.Answer {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		return client.Generate(ctx, e.URL, load.Generate{
+			Key: f.Workload.Accounts[0].Key, Model: f.Workload.Model, Prompt: "warp and weft", MaxTokens: 3,
+		})
+	}
+	quiet := f.Entries[2]
+	f.CutZone(quiet.Place.Zone, true)
+	if a := ask(quiet, 300*time.Millisecond); a.Err == nil {
+		t.Errorf("the zone that is cut off answered %+v", a)
+	}
+	if a := ask(f.Entries[0], 20*time.Second); !a.Whole {
+		t.Errorf("another zone answered %+v", a)
+	}
+	f.CutZone(quiet.Place.Zone, false)
+	if a := ask(quiet, 20*time.Second); !a.Whole {
+		t.Errorf("the zone that was joined again answered %+v", a)
+	}
+}
--- /dev/null
+++ b/internal/fleet/workload.go
@@ -0,0 +1,166 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Names of the workloads.
+const (
+	Wireworks = "wireworks"
+	Imigongo  = "imigongo"
+)
+
+// ErrWorkload means that no such workload exists.
+var ErrWorkload = errors.New("fleet: unknown workload")
+
+// Workload says what a fleet consists of and what its callers do.
+type Workload struct {
+	Name   string
+	Region zone.Region
+	Zones  []zone.AvailabilityZone
+	// Model is served by Prefills and Decodes engines, spread over the zones.
+	Model             contract.ModelName
+	Prefills, Decodes int
+	// Service is the plain service with Runners instances.
+	Service string
+	Runners int
+	Routes  []contract.Route
+	// OncePath is a path of calls that may not be repeated, FreePath one of
+	// calls that may.
+	OncePath, FreePath string
+	Accounts           []Account
+	// Prompt and Output are the mean tokens of a request, MaxPrompt the most.
+	Prompt, MaxPrompt, Output contract.Tokens
+}
+
+// Account is a client account with its key and its part of the load.
+type Account struct {
+	contract.ClientAccount
+	Key string
+	// Part of the workload's model requests, of 1 in all.
+	Part float64
+}
+
+// Find gives the workload of a name.
+func Find(name string) (Workload, error) {
+	switch name {
+	case Wireworks:
+		return wireworks(), nil
+	case Imigongo:
+		return imigongo(), nil
+	default:
+		return Workload{}, fmt.Errorf("%w: %q", ErrWorkload, name)
+	}
+}
+
+func wireworks() Workload {
+	w := Workload{
+		Name:      Wireworks,
+		Region:    "saurashtra",
+		Zones:     []zone.AvailabilityZone{"rajkot-a", "rajkot-b", "morbi"},
+		Model:     "pattern-reader",
+		Prefills:  4,
+		Decodes:   5,
+		Service:   "order-desk",
+		Runners:   3,
+		OncePath:  "/dispatch/",
+		FreePath:  "/stock/",
+		Prompt:    2400,
+		MaxPrompt: 16_000,
+		Output:    120,
+	}
+	w.Routes = []contract.Route{
+		w.modelRoute(contract.Route{
+			Patient: true,
+			Timeout: 2 * time.Minute,
+			Targets: contract.LatencyTargets{FirstToken: 4 * time.Second, BetweenTokens: 150 * time.Millisecond},
+		}),
+		w.serviceRoute("dispatch", w.OncePath, false),
+		w.serviceRoute("stock", w.FreePath, true),
+	}
+	w.Accounts = accounts("export", "dispatch-office", "wages", "quotations", "archive")
+	return w
+}
+
+func imigongo() Workload {
+	w := Workload{
+		Name:      Imigongo,
+		Region:    "kigali",
+		Zones:     []zone.AvailabilityZone{"kigali-a", "kigali-b", "kigali-c"},
+		Model:     "report-writers",
+		Prefills:  5,
+		Decodes:   7,
+		Service:   "appraisal-ledger",
+		Runners:   3,
+		OncePath:  "/fees/",
+		FreePath:  "/certificates/",
+		Prompt:    1200,
+		MaxPrompt: 8000,
+		Output:    160,
+	}
+	w.Routes = []contract.Route{
+		w.modelRoute(contract.Route{
+			Timeout: time.Minute,
+			Targets: contract.LatencyTargets{FirstToken: time.Second, BetweenTokens: 150 * time.Millisecond},
+		}),
+		w.serviceRoute("fees", w.OncePath, false),
+		w.serviceRoute("certificates", w.FreePath, true),
+	}
+	w.Accounts = accounts("head-office", "musanze", "huye", "rubavu", "nyagatare")
+	return w
+}
+
+// callTimeout bounds one call of a plain service.
+const callTimeout = 10 * time.Second
+
+func (w *Workload) modelRoute(r contract.Route) contract.Route {
+	r.Name = "generate"
+	r.Kind = contract.RouteModel
+	r.Model = w.Model
+	r.Repeatable = true
+	return r
+}
+
+func (w *Workload) serviceRoute(name contract.RouteName, prefix string, repeatable bool) contract.Route {
+	return contract.Route{
+		Name:       name,
+		Kind:       contract.RouteService,
+		Service:    w.Service,
+		PathPrefix: prefix,
+		Repeatable: repeatable,
+		Timeout:    callTimeout,
+		CallCost:   1,
+	}
+}
+
+// parts of the load: a few accounts are large.
+var parts = []float64{0.40, 0.30, 0.15, 0.10, 0.05}
+
+func accounts(names ...string) []Account {
+	list := make([]Account, len(names))
+	for i, name := range names {
+		list[i] = Account{
+			ClientAccount: contract.ClientAccount{ID: contract.AccountID(name), Weight: 1},
+			Key:           "tw-key-" + name + "-7f3a9c",
+			Part:          parts[i],
+		}
+	}
+	return list
+}
+
+// SetRates gives each account a rate of headroom times its part of the model
+// load, and a burst of some seconds of it.
+func (w *Workload) SetRates(requestsPerSecond, headroom float64, burst time.Duration) {
+	perRequest := float64(w.Prompt + w.Output)
+	for i := range w.Accounts {
+		a := &w.Accounts[i]
+		perSecond := max(1, a.Part*requestsPerSecond*headroom*perRequest)
+		a.Rate.PerSecond = contract.Tokens(perSecond)
+		a.Rate.Burst = max(contract.Tokens(perSecond*burst.Seconds()), 4*(w.MaxPrompt+4*w.Output))
+	}
+}
