--- a/instance/entry/place.go
+++ b/instance/entry/place.go
@@ -103,7 +103,8 @@
 // noRoom puts a request back into its queue.
 func (e *Entry) noRoom(h *table.Held, call contract.CallID, route contract.RouteName) []pool.Effect {
 	e.reservingDone(h, route, true)
-	if !e.updateCall(h, call, func(*request) {}) {
+	// Upstreams that failed this request are better than none.
+	if !e.updateCall(h, call, func(r *request) { r.excluded = nil }) {
 		return nil
 	}
 	return e.enqueue(h, call.Request)
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -102,14 +102,29 @@
 // polled hands output to its requests and polls again while there are calls.
 func (e *Entry) polled(h *table.Held, addr string, reply *peer.PollReply) (effects []pool.Effect) {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
+	useful := false
 	for _, chunk := range reply.Chunks {
-		effects = append(effects, e.generated(h, chunk)...)
+		more, current := e.generated(h, chunk)
+		effects = append(effects, more...)
+		useful = useful || current
 	}
 	for _, call := range reply.Lost {
 		effects = append(effects, e.lost(h, addr, call)...)
 	}
 	e.pollers.With(h, func(pollers *map[string]*poller) { (*pollers)[addr].failures = 0 })
-	return append(effects, e.pollAgain(h, addr, len(reply.Chunks) > 0)...)
+	if !useful && len(reply.Lost)+len(reply.Chunks) > 0 {
+		// The sidecar answers at once while it does not know a call that is on
+		// its way, or has output that nobody here waits for: asking again at
+		// once would spin.
+		e.pollLater(addr)
+		return effects
+	}
+	return append(effects, e.pollAgain(h, addr, useful)...)
+}
+
+// pollLater polls again after PollRetry.
+func (e *Entry) pollLater(addr string) {
+	e.pool.After(PollRetry, func(h *table.Held) []pool.Effect { return e.pollAgain(h, addr, false) })
 }
 
 // pollAgain starts the next poll. Without calls, one last poll says that their
@@ -152,7 +167,7 @@
 			e.untrack(h, addr, call)
 		}
 	}
-	e.pool.After(PollRetry, func(h *table.Held) []pool.Effect { return e.pollAgain(h, addr, false) })
+	e.pollLater(addr)
 	return effects
 }
 
@@ -174,12 +189,12 @@
 }
 
 // generated gives a piece of output to its request. A piece of an earlier
-// attempt, or one that came already, goes nowhere.
-func (e *Entry) generated(h *table.Held, chunk contract.Chunk) []pool.Effect {
+// attempt, or one that came already, goes nowhere; current is false then.
+func (e *Entry) generated(h *table.Held, chunk contract.Chunk) (effects []pool.Effect, current bool) {
 	now := e.clock.Now()
 	var failed upstream.ID
 	done := false
-	e.updateCall(h, chunk.Call, func(r *request) {
+	current = e.updateCall(h, chunk.Call, func(r *request) {
 		if chunk.Failure != nil {
 			failed = r.decode.ID
 			return
@@ -188,12 +203,12 @@
 	})
 	if failed != "" {
 		e.observe(h, nil, []upstream.ID{failed})
-		return e.retry(h, chunk.Call, []upstream.ID{failed}, chunk.Failure)
+		return e.retry(h, chunk.Call, []upstream.ID{failed}, chunk.Failure), true
 	}
 	if done {
-		return e.finish(h, chunk.Call.Request, nil)
+		return e.finish(h, chunk.Call.Request, nil), true
 	}
-	return nil
+	return nil, current
 }
 
 // accept adds output for the caller and reports whether it is whole now.
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -95,6 +95,9 @@
 	sent := !errors.Is(err, peer.ErrNotSent)
 	effects := e.releaseWork(h, []heldWork{{choice.Addr, run.call}}, sent)
 	e.updateCall(h, run.call, func(r *request) {
+		if sent {
+			r.reached = contract.RanUnknown
+		}
 		r.prefill = nil
 		r.excluded = append(r.excluded, choice.ID)
 	})
@@ -113,6 +116,7 @@
 	e.updateCall(h, run.call, func(r *request) {
 		r.prefill = nil
 		r.handle = reply.Handle
+		r.reached = contract.RanYes
 		r.prefillTokens += reply.Handle.Tokens
 		r.state = stateStarting
 		decode = *r.decode
@@ -136,6 +140,7 @@
 		e.observe(h, nil, []upstream.ID{choice.ID})
 	}
 	e.updateCall(h, run.call, func(r *request) {
+		r.reached = max(r.reached, refusal.Ran)
 		r.prefill = nil
 		r.excluded = append(r.excluded, choice.ID)
 	})
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -45,6 +45,8 @@
 	decode  *placement.Choice
 	prefill *placement.Choice
 	handle  link.Handle
+	// reached says whether any attempt ran at an upstream.
+	reached contract.Ran
 	// failures counts the attempts that failed at an upstream.
 	failures int
 	// excluded are upstreams that failed this request.
@@ -135,6 +137,7 @@
 	var used, charged contract.Tokens
 	now := e.clock.Now()
 	found := e.update(h, id, func(r *request) {
+		refusal = r.truthful(refusal)
 		release = r.heldWork()
 		r.state = stateEnded
 		r.refusal = refusal
@@ -153,6 +156,16 @@
 	return e.releaseWork(h, release, refusal != nil)
 }
 
+// truthful makes a refusal say that the request ran if an earlier attempt did.
+func (r *request) truthful(refusal *contract.Refusal) *contract.Refusal {
+	if refusal == nil || refusal.Ran != contract.RanNo || r.reached == contract.RanNo {
+		return refusal
+	}
+	said := *refusal
+	said.Ran = r.reached
+	return &said
+}
+
 // remove takes an ended request out of the table.
 func (e *Entry) remove(h *table.Held, id contract.RequestID) {
 	e.requests.With(h, id, func(rows map[contract.RequestID]*request) {
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -49,7 +49,7 @@
 	r := &running{call: q.Call, owner: q.From.Name}
 	if !s.begin(h, r) {
 		s.release(h, q.Call)
-		return refuse(h, contract.Refuse(contract.CodeStaleGrant, "the request already runs here"))
+		return refuse(h, contract.Refuse(contract.CodeStaleGrant, "the call already runs here"))
 	}
 	start := s.prefillAtEngine(q, r, answer)
 	if q.StartIn <= 0 {
@@ -138,7 +138,7 @@
 	}
 	r := &running{call: q.Call, owner: q.From.Name}
 	if !s.begin(h, r) {
-		return contract.Refuse(contract.CodeStaleGrant, "the request already runs here"), nil
+		return contract.Refuse(contract.CodeStaleGrant, "the call already runs here"), nil
 	}
 	s.openStream(h, q.From, q.Call, q.Offset)
 	return nil, []pool.Effect{s.decodeAtEngine(q, r)}
--- a/instance/sidecar/output.go
+++ b/instance/sidecar/output.go
@@ -104,7 +104,7 @@
 			st.named = true
 			st.acknowledge(ack.Next)
 		}
-		box.dropDelivered(current)
+		box.dropReleased(current)
 		chunks = box.waiting()
 	})
 	return chunks, wake
@@ -119,11 +119,11 @@
 	return chunks
 }
 
-// dropDelivered drops finished streams that polls named before and name no
-// more: their entry has all of them.
-func (b *outbox) dropDelivered(current map[contract.CallID]bool) {
+// dropReleased drops streams that polls named before and name no more: their
+// entry has all of them, or has given the call up.
+func (b *outbox) dropReleased(current map[contract.CallID]bool) {
 	for call, st := range b.streams {
-		if st.named && !st.finished.IsZero() && !current[call] {
+		if st.named && !current[call] {
 			delete(b.streams, call)
 		}
 	}
--- a/instance/sidecar/running.go
+++ b/instance/sidecar/running.go
@@ -10,8 +10,15 @@
 	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
 )
 
-// running is a call that the upstream works on. It is the row of the table of
-// calls; a request has at most one call here at a time.
+// callKey is a call's key in the table of calls. An earlier attempt of a request
+// may still be on its way out while a later one starts.
+type callKey string
+
+func keyOf(call contract.CallID) callKey {
+	return callKey(call.String())
+}
+
+// running is a call that the upstream works on: the row of the table of calls.
 type running struct {
 	call  contract.CallID
 	owner instance.Name
@@ -22,13 +29,13 @@
 	canceled bool
 }
 
-// begin enters a call; ok is false if an attempt of the request is there.
+// begin enters a call; ok is false if it is there already.
 func (s *Sidecar) begin(h *table.Held, r *running) (ok bool) {
-	s.calls.With(h, r.call.Request, func(rows map[contract.RequestID]*running) {
-		if _, there := rows[r.call.Request]; there {
+	s.calls.With(h, keyOf(r.call), func(rows map[callKey]*running) {
+		if _, there := rows[keyOf(r.call)]; there {
 			return
 		}
-		rows[r.call.Request] = r
+		rows[keyOf(r.call)] = r
 		ok = true
 	})
 	return ok
@@ -38,7 +45,7 @@
 // one that has ended.
 func (s *Sidecar) attach(ctx context.Context, r *running) context.Context {
 	ctx, cancel := context.WithCancel(ctx)
-	s.calls.With(table.NewHeld(), r.call.Request, func(map[contract.RequestID]*running) {
+	s.calls.With(table.NewHeld(), keyOf(r.call), func(map[callKey]*running) {
 		r.cancel = cancel
 		if r.canceled {
 			cancel()
@@ -49,9 +56,9 @@
 
 // end removes a call and frees its context.
 func (s *Sidecar) end(h *table.Held, r *running) {
-	s.calls.With(h, r.call.Request, func(rows map[contract.RequestID]*running) {
-		if rows[r.call.Request] == r {
-			delete(rows, r.call.Request)
+	s.calls.With(h, keyOf(r.call), func(rows map[callKey]*running) {
+		if rows[keyOf(r.call)] == r {
+			delete(rows, keyOf(r.call))
 		}
 		if r.cancel != nil {
 			r.cancel()
@@ -75,9 +82,9 @@
 // Calls that may not be repeated run on, so that their outcome is known.
 func (s *Sidecar) stop(h *table.Held, call contract.CallID) (tell bool) {
 	tell = true
-	s.calls.With(h, call.Request, func(rows map[contract.RequestID]*running) {
-		r, there := rows[call.Request]
-		if !there || r.call != call {
+	s.calls.With(h, keyOf(call), func(rows map[callKey]*running) {
+		r, there := rows[keyOf(call)]
+		if !there {
 			return
 		}
 		if r.once {
@@ -139,9 +146,20 @@
 	s.ledger.With(h, func(l **engine.Ledger) { expired = (*l).Expire(s.clock.Now()) })
 	for _, call := range expired {
 		s.log.Info("lease ran out", "request", call.Request, "attempt", call.Attempt)
+		s.closeStream(h, s.ownerOf(h, call), call)
 	}
 	effects := s.abort(h, expired)
 	s.dropOldOutput(h)
 	s.pool.After(SweepEvery, s.sweep)
 	return effects
 }
+
+// ownerOf finds the entry whose call runs; empty if it does not run.
+func (s *Sidecar) ownerOf(h *table.Held, call contract.CallID) (owner instance.Name) {
+	s.calls.With(h, keyOf(call), func(rows map[callKey]*running) {
+		if r, there := rows[keyOf(call)]; there {
+			owner = r.owner
+		}
+	})
+	return owner
+}
--- a/instance/sidecar/service.go
+++ b/instance/sidecar/service.go
@@ -43,7 +43,7 @@
 	}
 	r := &running{call: q.Call, owner: q.From.Name, once: q.Once}
 	if !s.begin(h, r) {
-		reply(h, contract.ServiceAnswer{}, &contract.Refusal{Code: contract.CodeOutcomeUnknown, Ran: contract.RanUnknown, Reason: "the request already runs here"})
+		reply(h, contract.ServiceAnswer{}, &contract.Refusal{Code: contract.CodeOutcomeUnknown, Ran: contract.RanUnknown, Reason: "the call already runs here"})
 		return nil
 	}
 	finish := func(a contract.ServiceAnswer, refusal *contract.Refusal) pool.Step {
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -10,7 +10,6 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -68,7 +67,7 @@
 	service link.Service
 
 	ledger *table.Single[*engine.Ledger]
-	calls  *table.Striped[contract.RequestID, *running]
+	calls  *table.Striped[callKey, *running]
 	output *table.Striped[instance.Name, *outbox]
 }
 
@@ -88,7 +87,7 @@
 		engine:  o.Engine,
 		service: o.Service,
 		ledger:  table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
-		calls:   table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
+		calls:   table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
 		output:  table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -165,16 +165,10 @@
 		return contract.RefuseRepeat(contract.CodeOverCapacity, l.prefillTime(l.queued), fmt.Sprintf("upstream %s has %d prompt tokens queued", l.id, l.queued))
 	}
 	l.queued += a.Tokens
-	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.prefillLease(a))}
+	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.limits.Lease)}
 	return nil
 }
 
-// prefillLease bounds how long a prefill counts if nobody releases it: nobody
-// renews it, so it is twice the time that the queue should take, and a lease.
-func (l *Ledger) prefillLease(a Ask) time.Duration {
-	return a.ReadyIn + 2*l.prefillTime(l.queued) + l.limits.Lease
-}
-
 func (l *Ledger) prefillTime(tokens contract.Tokens) time.Duration {
 	if l.limits.PrefillPerSecond <= 0 {
 		return 0
@@ -182,20 +176,29 @@
 	return time.Duration(tokens) * time.Second / time.Duration(l.limits.PrefillPerSecond)
 }
 
-// Renew prolongs the owner's grants and returns the calls that hold none. A
-// grant whose lease ran out is not prolonged: its holder was away too long.
+// Renew prolongs the owner's grants and accepted prefills, and returns the calls
+// that hold neither. One whose lease ran out is not prolonged: its holder was
+// away too long.
 func (l *Ledger) Renew(now time.Time, owner instance.Identity, calls []contract.CallID) (unknown []contract.CallID) {
 	for _, call := range calls {
-		held, ok := l.grants[call]
-		if !ok || !held.ownedBy(owner) || !now.Before(held.expires) {
+		granted := l.renewOne(now, l.grants[call], owner)
+		accepted := l.renewOne(now, l.prefills[call], owner)
+		if !granted && !accepted {
 			unknown = append(unknown, call)
-			continue
 		}
-		held.expires = now.Add(l.limits.Lease)
 	}
 	return unknown
 }
 
+// renewOne prolongs one lease and reports whether there was one.
+func (l *Ledger) renewOne(now time.Time, held *grant, owner instance.Identity) bool {
+	if held == nil || !held.ownedBy(owner) || !now.Before(held.expires) {
+		return false
+	}
+	held.expires = now.Add(l.limits.Lease)
+	return true
+}
+
 // Holds reports whether the call has a grant whose lease runs.
 func (l *Ledger) Holds(now time.Time, call contract.CallID) bool {
 	held, ok := l.grants[call]
