--- /dev/null
+++ b/cmd/trefoil-dev/quickstart.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/trefoilwalk/trefoilwalk/internal/fleet"
+	"github.com/trefoilwalk/trefoilwalk/internal/quickstart"
+)
+
+// Rates of the quickstart's accounts: enough for its load.
+const (
+	quickstartRequests = 20.0
+	quickstartHeadroom = 4.0
+	quickstartBurst    = 10 * time.Second
+	quickstartTimeout  = 2 * time.Minute
+)
+
+var errQuickstart = errors.New("not every request got its right answer")
+
+func addQuickstart(app *kingpin.Application, commands map[string]func(context.Context) error) {
+	command := app.Command("quickstart", "Bring up a small fleet and send it a short mixed load.")
+	stay := command.Flag("stay", "Keep the fleet running after the load, until interrupted.").Bool()
+	asJSON := command.Flag("json", "Print one JSON object at the end and nothing else.").Bool()
+	commands[command.FullCommand()] = func(ctx context.Context) error {
+		return runQuickstart(ctx, *stay, *asJSON)
+	}
+}
+
+func runQuickstart(ctx context.Context, stay, asJSON bool) error {
+	w, err := fleet.Find(fleet.Wireworks)
+	if err != nil {
+		return err
+	}
+	w.SetRates(quickstartRequests, quickstartHeadroom, quickstartBurst)
+	text := io.Writer(os.Stdout)
+	if asJSON {
+		text = io.Discard
+	}
+	fmt.Fprintln(text, "Bringing up the fleet ...")
+	f, err := fleet.Start(ctx, fleet.Options{Workload: w, Policy: fleet.DefaultPolicy, Seed: 1})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	loadCtx, cancel := context.WithTimeout(ctx, quickstartTimeout)
+	defer cancel()
+	summary := quickstart.Run(loadCtx, f)
+	printSummary(text, summary)
+	if stay {
+		printHowTo(text, f)
+		<-ctx.Done()
+	}
+	if asJSON {
+		if err := json.NewEncoder(os.Stdout).Encode(summary); err != nil {
+			return err
+		}
+	}
+	if !summary.OK {
+		return errQuickstart
+	}
+	return nil
+}
+
+func printSummary(w io.Writer, s quickstart.Summary) {
+	fmt.Fprintf(w, "Fleet: %d availability zones, %d entries, %d engines, %d services, a sidecar beside each.\n",
+		s.Zones, s.Entries, s.Engines, s.Services)
+	rows := []struct {
+		name   string
+		counts quickstart.Counts
+	}{
+		{"streamed completions", s.Streamed},
+		{"whole completions", s.Whole},
+		{"plain calls", s.Calls},
+	}
+	for _, row := range rows {
+		fmt.Fprintf(w, "%-21s %d of %d got their own whole answer\n", row.name, row.counts.Right, row.counts.Sent)
+	}
+	fmt.Fprintf(w, "%-21s %d\n", "keys seen upstream", s.KeysSeen)
+	fmt.Fprintf(w, "%-21s %d\n", "engine memory held", s.Held)
+	fmt.Fprintf(w, "%-21s %d ms\n", "time taken", s.TookMS)
+	for _, wrong := range s.Wrong {
+		fmt.Fprintln(w, "wrong:", wrong)
+	}
+}
+
+// printHowTo says how to use the fleet while it runs.
+func printHowTo(w io.Writer, f *fleet.Fleet) {
+	account := f.Workload.Accounts[0]
+	fmt.Fprintln(w, "\nThe fleet keeps running; interrupt to end it. Send a request:")
+	fmt.Fprintf(w, "\n  curl -N %s/v1/completions -H 'Authorization: Bearer %s' \\\n", f.Entries[0].URL, account.Key)
+	fmt.Fprintf(w, "    -d '{\"model\":\"%s\",\"prompt\":\"warp over weft\",\"max_tokens\":20,\"stream\":true}'\n", f.Workload.Model)
+	fmt.Fprintf(w, "\n  curl %s%scoils -H 'Authorization: Bearer %s'\n", f.Entries[1].URL, f.Workload.FreePath, account.Key)
+}
--- a/internal/fleet/serve.go
+++ b/internal/fleet/serve.go
@@ -47,11 +47,6 @@
 	return &peerListener{l, server}, nil
 }
 
-// addr gives the listener's host:port.
-func (p *peerListener) addr() string {
-	return p.listener.Addr().String()
-}
-
 func (p *peerListener) close() {
 	_ = p.listener.Close()
 	p.server.Close()
--- /dev/null
+++ b/internal/quickstart/quickstart.go
@@ -0,0 +1,182 @@
+// Package quickstart sends a short mixed load to a small fleet and checks that
+// each caller got the whole answer to its own request.
+package quickstart
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/fleet"
+	"github.com/trefoilwalk/trefoilwalk/internal/load"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/engine"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
+)
+
+// Size of the load.
+const (
+	roundsPerAccount = 6
+	outputTokens     = 24
+	// settleTime is how long after the last answer nothing may be held any
+	// more: an unused prefill's result stays for the longest.
+	settleTime = engine.DefaultEvictAfter + 200*time.Millisecond
+)
+
+// Counts say how many requests of a kind got the right answer.
+type Counts struct {
+	Sent  int `json:"sent"`
+	Right int `json:"right"`
+}
+
+// Summary is what the load led to.
+type Summary struct {
+	OK       bool   `json:"ok"`
+	Zones    int    `json:"zones"`
+	Entries  int    `json:"entries"`
+	Engines  int    `json:"engines"`
+	Services int    `json:"services"`
+	Streamed Counts `json:"streamed"`
+	Whole    Counts `json:"whole"`
+	Calls    Counts `json:"calls"`
+	// Wrong describes the requests that got another answer or none.
+	Wrong []string `json:"wrong"`
+	// KeysSeen counts requests at upstreams that contained a caller's key.
+	KeysSeen int `json:"keys_seen"`
+	// Held counts the requests that held engine memory after the end.
+	Held   int   `json:"held"`
+	TookMS int64 `json:"took_ms"`
+}
+
+// run is one run of the load.
+type run struct {
+	fleet  *fleet.Fleet
+	client *load.Client
+
+	mu      sync.Mutex
+	summary Summary
+}
+
+// Run sends the load and returns when the fleet holds nothing any more, or
+// should not.
+func Run(ctx context.Context, f *fleet.Fleet) Summary {
+	r := &run{fleet: f, client: load.NewClient(f.Transport())}
+	r.summary = Summary{
+		Zones:    len(f.Workload.Zones),
+		Entries:  len(f.Entries),
+		Engines:  len(f.Engines),
+		Services: len(f.Services),
+		Wrong:    []string{},
+	}
+	r.watchKeys()
+	began := time.Now()
+	var callers sync.WaitGroup
+	for i, account := range f.Workload.Accounts {
+		callers.Go(func() { r.caller(ctx, i, account) })
+	}
+	callers.Wait()
+	r.summary.TookMS = time.Since(began).Milliseconds()
+	select {
+	case <-time.After(settleTime):
+	case <-ctx.Done():
+	}
+	r.inspect()
+	return r.summary
+}
+
+// watchKeys counts what must never reach an upstream.
+func (r *run) watchKeys() {
+	for _, account := range r.fleet.Workload.Accounts {
+		for _, e := range r.fleet.Engines {
+			e.Engine.Received.Watch(account.Key)
+		}
+		for _, s := range r.fleet.Services {
+			s.Service.Received.Watch(account.Key)
+		}
+	}
+}
+
+// caller makes the requests of one account at all entries in turn.
+func (r *run) caller(ctx context.Context, i int, account fleet.Account) {
+	for round := range roundsPerAccount {
+		entry := r.fleet.Entries[(i+round)%len(r.fleet.Entries)]
+		prompt := fmt.Sprintf("%s asks for round %d. %s", account.ID, round, strings.Repeat("warp over weft, ", 100*(round+1)))
+		var requests sync.WaitGroup
+		requests.Go(func() { r.generate(ctx, entry.URL, account, prompt, true) })
+		requests.Go(func() { r.generate(ctx, entry.URL, account, prompt, false) })
+		requests.Go(func() { r.call(ctx, entry.URL, account, round) })
+		requests.Wait()
+	}
+}
+
+func (r *run) generate(ctx context.Context, url string, account fleet.Account, prompt string, stream bool) {
+	seed := int64(len(prompt))
+	counts, kind := &r.summary.Whole, "whole"
+	if stream {
+		counts, kind = &r.summary.Streamed, "streamed"
+		seed++
+	}
+	a := r.client.Generate(ctx, url, load.Generate{
+		Key:       account.Key,
+		Model:     r.fleet.Workload.Model,
+		Prompt:    prompt,
+		MaxTokens: outputTokens,
+		Seed:      seed,
+		Stream:    stream,
+	})
+	want := strings.Join(engine.Expected(prompt, seed, outputTokens), "")
+	r.count(counts, kind, account, a, want)
+}
+
+func (r *run) call(ctx context.Context, url string, account fleet.Account, round int) {
+	body := fmt.Sprintf("%s looks up order %d", account.ID, round)
+	call := contract.ServiceCall{Method: http.MethodPost, Path: "/order", Body: []byte(body)}
+	path := strings.TrimSuffix(r.fleet.Workload.FreePath, "/") + call.Path
+	a := r.client.Call(ctx, call.Method, url+path, account.Key, "", body)
+	r.count(&r.summary.Calls, "call", account, a, service.Expected(call))
+}
+
+// count takes one answer into the summary.
+func (r *run) count(counts *Counts, kind string, account fleet.Account, a load.Answer, want string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts.Sent++
+	if a.Err == nil && a.Refusal == nil && a.Whole && a.Endings == 1 && a.Text == want {
+		counts.Right++
+		return
+	}
+	r.summary.Wrong = append(r.summary.Wrong, fmt.Sprintf("%s of %s: %s", kind, account.ID, describe(a)))
+}
+
+func describe(a load.Answer) string {
+	switch {
+	case a.Err != nil:
+		return a.Err.Error()
+	case a.Refusal != nil:
+		return fmt.Sprintf("refused with %s (ran: %s): %s", a.Refusal.Code, a.Refusal.Ran, a.Refusal.Message)
+	default:
+		return fmt.Sprintf("status %d and another text: %q", a.Status, a.Text)
+	}
+}
+
+// inspect looks at the stand-ins after the load.
+func (r *run) inspect() {
+	for _, e := range r.fleet.Engines {
+		r.summary.Held += e.Engine.Counts().Holding
+		r.summary.KeysSeen += hits(e.Engine.Received.Hits())
+	}
+	for _, s := range r.fleet.Services {
+		r.summary.KeysSeen += hits(s.Service.Received.Hits())
+	}
+	r.summary.OK = len(r.summary.Wrong) == 0 && r.summary.KeysSeen == 0 && r.summary.Held == 0
+}
+
+func hits(byText map[string]int) (n int) {
+	for _, count := range byText {
+		n += count
+	}
+	return n
+}
