Measure policies against baselines under faults

trefoil-dev experiment plays one seeded open-loop load on a whole fleet under a policy and then under a baseline, with one of eleven faults in the middle third of the time, and gives goodput, wasted prefill, the worst-served client account, wrongful refusals and the promise counters as JSON, a table or a plot. Promises are counted at callers and stand-ins, never from what the entries say of themselves; what was not measured is null. Which requests are within rate is found by an exact bucket over the fleet; a breach of the rate is counted only from grants that surely lie inside a window, so that waiting is never taken for a breach.

Ruled out: counting tokens at the time an engine starts, which makes a breach of two grants that waited in a queue. TTFT is from the sending of a request, which happens at its planned time whatever became of earlier ones.

Seen to fail: windows that count grants made before them, and a 'not run' of a call that had run by then.

--- a/cmd/trefoil-dev/main.go
+++ b/cmd/trefoil-dev/main.go
@@ -19,6 +19,7 @@
 	app.HelpFlag.Short('h')
 	commands := map[string]func(context.Context) error{}
 	addQuickstart(app, commands)
+	addExperiment(app, commands)
 	addStandIns(app, commands)
 	commands[app.Command("version", "Print the version.").FullCommand()] = printVersion
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
--- /dev/null
+++ b/internal/experiment/experiment.go
@@ -0,0 +1,50 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/trefoilwalk/trefoilwalk/internal/fleet"
+)
+
+// Report is what an experiment found.
+type Report struct {
+	Workload  string  `json:"workload"`
+	Fault     Fault   `json:"fault"`
+	Seed      uint64  `json:"seed"`
+	DurationS float64 `json:"duration_s"`
+	Load      float64 `json:"load"`
+	Rates     string  `json:"rates"`
+	// Results are those of the policy and then of the baseline.
+	Results []Measures `json:"results"`
+}
+
+// Run plays the same load under the policy and under the baseline, one after the
+// other.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	w, err := fleet.Find(o.Workload)
+	if err != nil {
+		return nil, err
+	}
+	w.SetRates(requestsPerSecond(&w, o.Load), headroom, rateBurst)
+	plan := newPlan(o, &w)
+	report := &Report{
+		Workload:  o.Workload,
+		Fault:     o.Fault,
+		Seed:      o.Seed,
+		DurationS: o.Duration.Seconds(),
+		Load:      o.Load,
+		Rates:     o.Rates,
+	}
+	for _, policy := range []string{o.Policy, o.Baseline} {
+		m, err := play(ctx, o, w, policy, plan)
+		if err != nil {
+			return nil, fmt.Errorf("policy %s: %w", policy, err)
+		}
+		report.Results = append(report.Results, m)
+	}
+	return report, nil
+}
--- /dev/null
+++ b/internal/experiment/fault.go
@@ -0,0 +1,144 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/memplatform"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+const (
+	// withdrawnIndex is the account whose key is withdrawn.
+	withdrawnIndex = 1
+	// quietIndex is the zone that is cut off, leavingIndex that of the entry
+	// that is killed or drained.
+	quietIndex   = 2
+	leavingIndex = 1
+	// spreadPoll is how often entries are asked for their revision.
+	spreadPoll = 10 * time.Millisecond
+	// drainTimeout bounds a graceful shutdown.
+	drainTimeout = 30 * time.Second
+)
+
+// bringFault makes the fault begin and end at its times.
+func (r *run) bringFault(ctx context.Context) {
+	begin, end := r.fault(ctx)
+	sleep(ctx, time.Until(r.began.Add(r.options.faultStart())))
+	if ctx.Err() == nil && begin != nil {
+		begin()
+	}
+	sleep(ctx, time.Until(r.began.Add(r.options.faultEnd())))
+	if end != nil {
+		end()
+	}
+}
+
+// fault gives what begins and ends the fault; either may be nil.
+func (r *run) fault(ctx context.Context) (begin, end func()) {
+	f := r.fleet
+	decode := f.Engines[f.Workload.Prefills]
+	store := f.Platform.Store
+	switch r.options.Fault {
+	case FaultEngineCrash:
+		return decode.Engine.Crash, nil
+	case FaultPoison:
+		return func() { r.poison(poisonText) }, func() { r.poison("") }
+	case FaultStalledTransfer:
+		return func() { decode.Engine.Stall(true) }, func() { decode.Engine.Stall(false) }
+	case FaultZoneQuiet:
+		z := f.Workload.Zones[quietIndex]
+		return func() { f.CutZone(z, true) }, func() { f.CutZone(z, false) }
+	case FaultStoreDown:
+		return func() { store.SetDown(true) }, func() { store.SetDown(false) }
+	case FaultLostAnswers:
+		return func() { store.LoseAnswers(memplatform.Always) }, func() { store.LoseAnswers(0) }
+	case FaultEntryKilled:
+		return r.killEntry, nil
+	case FaultKeyWithdrawn:
+		return func() { r.withdrawKey(ctx) }, nil
+	case FaultDrain:
+		return func() { r.drain(ctx) }, nil
+	default:
+		// The load itself is the fault, or there is none.
+		return nil, nil
+	}
+}
+
+func (r *run) poison(text string) {
+	for _, e := range r.fleet.Engines {
+		e.Engine.CrashOn(text)
+	}
+}
+
+func (r *run) killEntry() {
+	e := r.fleet.Entries[leavingIndex]
+	r.mu.Lock()
+	r.events.killed, r.events.killedAt = e, time.Now()
+	r.mu.Unlock()
+	e.Kill()
+}
+
+func (r *run) withdrawKey(ctx context.Context) {
+	hash := contract.HashKey(r.fleet.Workload.Accounts[withdrawnIndex].Key)
+	_, err := r.fleet.Change(ctx, config.WithdrawKey{Hash: hash})
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err == nil {
+		r.events.withdrawn = time.Now()
+	}
+}
+
+// drain shuts one entry down gracefully and takes one engine out of service.
+func (r *run) drain(ctx context.Context) {
+	engine := r.fleet.Engines[r.fleet.Workload.Prefills]
+	_, _ = r.fleet.Change(ctx, config.ChangeState{ID: engine.Upstream.ID, State: upstream.StateDraining})
+	r.fleet.Leave(engine.Upstream)
+	e := r.fleet.Entries[leavingIndex]
+	// The balancer hears of it before requests are refused.
+	e.Unready()
+	sleep(ctx, 2*healthEvery)
+	_ = e.Drain(ctx, drainTimeout)
+}
+
+// changeConfig makes a change before the fault and measures until it is in force
+// at all entries.
+func (r *run) changeConfig(ctx context.Context) {
+	sleep(ctx, time.Until(r.began.Add(r.options.Duration/6)))
+	account := r.fleet.Workload.Accounts[0].ClientAccount
+	account.Weight++
+	revision, err := r.fleet.Change(ctx, config.SetAccount{Account: account})
+	if err != nil {
+		return
+	}
+	accepted := time.Now()
+	for !r.inForce(ctx, revision) {
+		if ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, spreadPoll)
+	}
+	spread := time.Since(accepted)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events.configSpread = &spread
+}
+
+// inForce reports whether all entries that live have the revision.
+func (r *run) inForce(ctx context.Context, revision contract.Revision) bool {
+	r.mu.Lock()
+	killed := r.events.killed
+	r.mu.Unlock()
+	for _, e := range r.fleet.Entries {
+		if e == killed {
+			continue
+		}
+		has, err := e.Revision(ctx)
+		if err != nil || has < revision {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/experiment/measure.go
@@ -0,0 +1,223 @@
+package experiment
+
+import (
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/load"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
+)
+
+// Measures are the figures of one policy. Those that were not measured are nil
+// and null in JSON.
+type Measures struct {
+	Policy string `json:"policy"`
+	// Offered counts all requests, WithinRate those that the figures are about.
+	Offered    int `json:"offered"`
+	WithinRate int `json:"within_rate"`
+	// Goodput is the share of model requests within their account's rate whose
+	// whole answer met both latency targets.
+	Goodput *float64 `json:"goodput"`
+	// WastedPrefill is the share of prefilled tokens that no engine imported.
+	WastedPrefill *float64 `json:"wasted_prefill"`
+	// WorstAccount is the goodput of the client account that fared worst.
+	WorstAccount *float64 `json:"worst_account"`
+	// WrongfulRefusals is the share of refused requests of those within rate.
+	WrongfulRefusals *float64 `json:"wrongful_refusals"`
+	// OverRate is the most tokens that an account got beyond rate and burst.
+	OverRate      *int64 `json:"over_rate"`
+	AnsweredTwice *int   `json:"answered_twice"`
+	RanTwice      *int   `json:"ran_twice"`
+	FalseNotRun   *int   `json:"false_not_run"`
+	Incomplete    *int   `json:"incomplete"`
+	KeysSeen      *int   `json:"keys_seen"`
+	// OrphanMSMax is the longest that engine memory stayed held for a caller
+	// that was gone.
+	OrphanMSMax   *float64 `json:"orphan_ms_max"`
+	WithdrawnSMax *float64 `json:"withdrawn_s_max"`
+	ConfigSMax    *float64 `json:"config_s_max"`
+	TTFTP95MS     *float64 `json:"ttft_p95_ms"`
+	ITLP95MS      *float64 `json:"itl_p95_ms"`
+	// Refusals counts the refusals and failures within rate by their code.
+	Refusals map[string]int `json:"refusals"`
+	// Second holds, for each second of arrival, the counts behind Goodput.
+	Second []SecondCounts `json:"-"`
+}
+
+// SecondCounts are model requests within rate that arrived in one second.
+type SecondCounts struct {
+	Sent, Good int
+}
+
+// Bounds of the histograms.
+const (
+	highestMS = int64(10 * time.Minute / time.Millisecond)
+	digits    = 3
+	p95       = 95
+)
+
+// measure works out the figures of a run.
+func measure(policy string, r *run) Measures {
+	m := Measures{Policy: policy, Offered: len(r.outcomes), Refusals: make(map[string]int)}
+	m.Second = make([]SecondCounts, int(r.options.Duration/time.Second)+1)
+	r.goodput(&m)
+	r.latencies(&m)
+	r.waste(&m)
+	r.promises(&m)
+	r.overRate(&m)
+	r.orphans(&m)
+	r.withdrawn(&m)
+	if spread := r.events.configSpread; spread != nil {
+		m.ConfigSMax = pointer(spread.Seconds())
+	}
+	return m
+}
+
+func pointer[T any](value T) *T {
+	return &value
+}
+
+// counted reports whether a request counts for goodput and refusals: it is
+// within its rate, its caller stayed, its key works, and it crashes nothing.
+func (r *run) counted(o *outcome) bool {
+	withdrawn := o.plan.account == withdrawnIndex && !r.events.withdrawn.IsZero()
+	return o.plan.within && o.plan.leaveAfter == 0 && !o.plan.poison && !withdrawn
+}
+
+// share divides; nil if there is nothing to divide by.
+func share(part, all int) *float64 {
+	if all == 0 {
+		return nil
+	}
+	return pointer(float64(part) / float64(all))
+}
+
+func (r *run) goodput(m *Measures) {
+	targets := r.fleet.Workload.Routes[0].Targets
+	accounts := len(r.fleet.Workload.Accounts)
+	sent, good := make([]int, accounts), make([]int, accounts)
+	refused, all, allGood := 0, 0, 0
+	for _, o := range r.outcomes {
+		if !r.counted(o) {
+			continue
+		}
+		m.WithinRate++
+		a := o.last()
+		if a.Refusal != nil {
+			refused++
+			m.Refusals[string(a.Refusal.Code)]++
+		} else if !a.Whole {
+			m.Refusals["broken"]++
+		}
+		if o.plan.kind != kindModel {
+			continue
+		}
+		all++
+		sent[o.plan.account]++
+		second := &m.Second[int(o.plan.at/time.Second)]
+		second.Sent++
+		if a.Whole && a.Text == o.plan.expected() && a.FirstToken <= targets.FirstToken && a.LongestGap <= targets.BetweenTokens {
+			allGood++
+			good[o.plan.account]++
+			second.Good++
+		}
+	}
+	m.Goodput = share(allGood, all)
+	m.WrongfulRefusals = share(refused, m.WithinRate)
+	for i := range sent {
+		if s := share(good[i], sent[i]); s != nil && (m.WorstAccount == nil || *s < *m.WorstAccount) {
+			m.WorstAccount = s
+		}
+	}
+}
+
+func (r *run) latencies(m *Measures) {
+	first := hdrhistogram.New(1, highestMS, digits)
+	between := hdrhistogram.New(1, highestMS, digits)
+	for _, o := range r.outcomes {
+		a := o.last()
+		if o.plan.kind != kindModel || !r.counted(o) || a.LastToken.IsZero() {
+			continue
+		}
+		_ = first.RecordValue(a.FirstToken.Milliseconds())
+		for _, gap := range a.Gaps {
+			_ = between.RecordValue(gap.Milliseconds())
+		}
+	}
+	if first.TotalCount() > 0 {
+		m.TTFTP95MS = pointer(float64(first.ValueAtPercentile(p95)))
+	}
+	if between.TotalCount() > 0 {
+		m.ITLP95MS = pointer(float64(between.ValueAtPercentile(p95)))
+	}
+}
+
+func (r *run) waste(m *Measures) {
+	var run, wasted contract.Tokens
+	for _, e := range r.fleet.Engines {
+		counts := e.Engine.Counts()
+		run += counts.PrefillTokens
+		wasted += counts.WastedTokens
+	}
+	m.WastedPrefill = share(int(wasted), int(run))
+	m.KeysSeen = pointer(r.fleet.KeysSeen())
+}
+
+// promises counts what must never happen.
+func (r *run) promises(m *Measures) {
+	var twice, ranTwice, falseNotRun, incomplete int
+	for _, o := range r.outcomes {
+		a := o.last()
+		if a.Endings > 1 || answeredBeyond(o, a) {
+			twice++
+		}
+		if o.plan.kind == kindOnce && r.observer.runs(o.plan.body) > 1 {
+			ranTwice++
+		}
+		if r.falselyNotRun(o) {
+			falseNotRun++
+		}
+		if a.Whole && !rightAnswer(o, a) {
+			incomplete++
+		}
+	}
+	m.AnsweredTwice, m.RanTwice, m.FalseNotRun, m.Incomplete = &twice, &ranTwice, &falseNotRun, &incomplete
+}
+
+// answeredBeyond reports whether output came after the end of the answer.
+func answeredBeyond(o *outcome, a *load.Answer) bool {
+	if o.plan.kind != kindModel || a.Refusal != nil {
+		return false
+	}
+	expected := o.plan.expected()
+	return len(a.Text) > len(expected) && strings.HasPrefix(a.Text, expected)
+}
+
+func rightAnswer(o *outcome, a *load.Answer) bool {
+	if o.plan.kind == kindModel {
+		return a.Text == o.plan.expected()
+	}
+	return a.Text == service.Expected(expectedCall(o.plan))
+}
+
+// falselyNotRun reports whether a refusal said "not run" of what had run by
+// then, or ran afterwards though it was not sent again.
+func (r *run) falselyNotRun(o *outcome) bool {
+	for i, t := range o.tries {
+		refusal := t.answer.Refusal
+		if refusal == nil || refusal.Ran != contract.RanNo.String() {
+			continue
+		}
+		if o.plan.kind == kindModel {
+			return r.observer.requestRan(t.answer.Request)
+		}
+		final := i == len(o.tries)-1
+		if t.runs > 0 || (final && r.observer.runs(o.plan.body) > 0) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -157,6 +157,11 @@
 	})
 }
 
+// Unready tells the balancer to send no more requests here.
+func (n *EntryNode) Unready() {
+	n.handler.SetUnready("draining")
+}
+
 // Drain shuts the entry down gracefully: no new requests, and the running ones
 // end within the timeout.
 func (n *EntryNode) Drain(ctx context.Context, timeout time.Duration) error {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -47,7 +47,8 @@
 	Log      hclog.Logger
 	// OnEngineStart and OnEngineFree are told when a call starts to use an
 	// engine and when its memory is free. They must not block.
-	OnEngineStart, OnEngineFree func(call contract.CallID)
+	OnEngineStart func(call contract.CallID, prompt string)
+	OnEngineFree  func(call contract.CallID)
 	// OnServiceRun is told of each call that a service runs.
 	OnServiceRun func(call, body string)
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -75,6 +75,8 @@
 	Err error
 	// FirstToken and LongestGap are 0 when not seen; only streams have them.
 	FirstToken, LongestGap time.Duration
+	// Gaps are all times between two pieces of output.
+	Gaps []time.Duration
 	// LastToken is when the last output came.
 	LastToken time.Time
 }
@@ -226,7 +228,9 @@
 	if a.LastToken.IsZero() {
 		a.FirstToken = now.Sub(sent)
 	} else {
-		a.LongestGap = max(a.LongestGap, now.Sub(a.LastToken))
+		gap := now.Sub(a.LastToken)
+		a.Gaps = append(a.Gaps, gap)
+		a.LongestGap = max(a.LongestGap, gap)
 	}
 	a.LastToken = now
 }
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -71,7 +71,7 @@
 		Services: len(f.Services),
 		Wrong:    []string{},
 	}
-	r.watchKeys()
+	f.WatchKeys()
 	began := time.Now()
 	var callers sync.WaitGroup
 	for i, account := range f.Workload.Accounts {
@@ -87,18 +87,6 @@
 	return r.summary
 }
 
-// watchKeys counts what must never reach an upstream.
-func (r *run) watchKeys() {
-	for _, account := range r.fleet.Workload.Accounts {
-		for _, e := range r.fleet.Engines {
-			e.Engine.Received.Watch(account.Key)
-		}
-		for _, s := range r.fleet.Services {
-			s.Service.Received.Watch(account.Key)
-		}
-	}
-}
-
 // caller makes the requests of one account at all entries in turn.
 func (r *run) caller(ctx context.Context, i int, account fleet.Account) {
 	for round := range roundsPerAccount {
@@ -166,17 +154,7 @@
 func (r *run) inspect() {
 	for _, e := range r.fleet.Engines {
 		r.summary.Held += e.Engine.Counts().Holding
-		r.summary.KeysSeen += hits(e.Engine.Received.Hits())
-	}
-	for _, s := range r.fleet.Services {
-		r.summary.KeysSeen += hits(s.Service.Received.Hits())
 	}
+	r.summary.KeysSeen = r.fleet.KeysSeen()
 	r.summary.OK = len(r.summary.Wrong) == 0 && r.summary.KeysSeen == 0 && r.summary.Held == 0
 }
-
-func hits(byText map[string]int) (n int) {
-	for _, count := range byText {
-		n += count
-	}
-	return n
-}
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -80,7 +80,7 @@
 	if len(e.decodes)-e.inState(finished) >= e.options.Slots {
 		return nil, full("all slots are taken")
 	}
-	if !e.hold(d.call, upstream.BlocksFor(q.Handle.Tokens+q.MaxTokens)) {
+	if !e.hold(d.call, "", upstream.BlocksFor(q.Handle.Tokens+q.MaxTokens)) {
 		return nil, full("too few KV blocks are free")
 	}
 	e.decodes[d.call] = d
@@ -107,7 +107,7 @@
 		return
 	}
 	e.stepping = true
-	grown := float64(e.options.Step) * (1 + stepGrowth*float64(batch-1))
+	grown := float64(e.options.Step) * (1 + StepGrowth*float64(batch-1))
 	e.after(e.slowed(time.Duration(grown)), e.step)
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -131,7 +131,7 @@
 }
 
 // hold takes blocks for a call if they are free; the caller holds mu.
-func (e *Engine) hold(call contract.CallID, blocks int) bool {
+func (e *Engine) hold(call contract.CallID, prompt string, blocks int) bool {
 	if e.used+blocks > e.options.Blocks {
 		return false
 	}
@@ -139,7 +139,7 @@
 	e.holding[call] = blocks
 	e.counts.Started++
 	if e.options.OnStart != nil {
-		e.options.OnStart(call)
+		e.options.OnStart(call, prompt)
 	}
 	return true
 }
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -49,8 +49,10 @@
 	// RestartAfter restarts the engine after a crash; 0 means never.
 	RestartAfter time.Duration
 	// OnStart and OnFree, if set, are told when a call starts to use the engine
-	// and when its memory is free. They must not call the engine.
-	OnStart, OnFree func(call contract.CallID)
+	// and when its memory is free. They must not call the engine. The prompt is
+	// given for prefills only.
+	OnStart func(call contract.CallID, prompt string)
+	OnFree  func(call contract.CallID)
 }
 
 // Defaults of Options.
@@ -70,8 +72,8 @@
 	DefaultRetain           = 5 * time.Second
 )
 
-// stepGrowth is the part by which each further request lengthens a step.
-const stepGrowth = 0.005
+// StepGrowth is the part by which each further request lengthens a step.
+const StepGrowth = 0.005
 
 func (o Options) withDefaults() Options {
 	orDefault(&o.Role, upstream.RolePrefill)
--- a/internal/standin/engine/prefill.go
+++ b/internal/standin/engine/prefill.go
@@ -98,7 +98,7 @@
 		}
 	}
 	p := e.queue[next]
-	if !e.hold(p.call, p.blocks) {
+	if !e.hold(p.call, p.prompt, p.blocks) {
 		return
 	}
 	e.queue = slices.Delete(e.queue, next, next+1)
