--- /dev/null
+++ b/upstream/retry/retry.go
@@ -0,0 +1,89 @@
+// Package retry bounds how many attempts an entry makes beyond the first ones,
+// so that a fault does not turn into a multiple of the load. A budget has no
+// lock of its own; it lives in the table of requests.
+package retry
+
+import (
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// Options configure a budget; zero fields get the defaults.
+type Options struct {
+	// Share is the retries allowed for each first attempt.
+	Share float64
+	// FloorPerSecond and FloorBurst allow some retries at any load.
+	FloorPerSecond, FloorBurst float64
+	// MaxSaved bounds the retries that may be saved up.
+	MaxSaved float64
+}
+
+// Defaults of Options.
+const (
+	DefaultShare          = 0.1
+	DefaultFloorPerSecond = 1
+	DefaultFloorBurst     = 10
+	DefaultMaxSaved       = 100
+)
+
+// Budget is one entry's allowance of retries.
+type Budget struct {
+	options Options
+	// saved comes from first attempts, floor from the passing of time.
+	saved, floor float64
+	at           time.Time
+}
+
+// NewBudget returns a budget whose floor is full.
+func NewBudget(o Options) *Budget {
+	for _, d := range []struct {
+		field *float64
+		value float64
+	}{
+		{&o.Share, DefaultShare},
+		{&o.FloorPerSecond, DefaultFloorPerSecond},
+		{&o.FloorBurst, DefaultFloorBurst},
+		{&o.MaxSaved, DefaultMaxSaved},
+	} {
+		if *d.field <= 0 {
+			*d.field = d.value
+		}
+	}
+	return &Budget{options: o, floor: o.FloorBurst}
+}
+
+// First records a first attempt.
+func (b *Budget) First() {
+	b.saved = min(b.options.MaxSaved, b.saved+b.options.Share)
+}
+
+// Allow reports whether an attempt that ended in a refusal may be followed by
+// another one, and takes it from the budget. Only what did not run, or may run
+// again, is retried.
+func (b *Budget) Allow(now time.Time, refusal *contract.Refusal, repeatable bool) bool {
+	if refusal.Ran != contract.RanNo && !repeatable {
+		return false
+	}
+	b.refill(now)
+	switch {
+	case b.saved >= 1:
+		b.saved--
+	case b.floor >= 1:
+		b.floor--
+	default:
+		return false
+	}
+	return true
+}
+
+// refill adds what the floor earned since the last call.
+func (b *Budget) refill(now time.Time) {
+	if !b.at.IsZero() && now.After(b.at) {
+		earned := now.Sub(b.at).Seconds() * b.options.FloorPerSecond
+		b.floor = min(b.options.FloorBurst, b.floor+earned)
+	}
+	if b.at.Before(now) {
+		b.at = now
+	}
+}
--- /dev/null
+++ b/upstream/retry/retry_test.go
@@ -0,0 +1,44 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// TestBudget sends a load of which every attempt fails, and counts retries.
+func TestBudget(t *testing.T) {
+	const floor = DefaultFloorBurst
+	notRun := contract.Refuse(contract.CodeUpstreamFailed, "")
+	unknown := &contract.Refusal{Ran: contract.RanUnknown}
+	cases := []struct {
+		name       string
+		requests   int
+		gap        time.Duration
+		refusal    *contract.Refusal
+		repeatable bool
+		least      int
+		most       int
+	}{
+		{"a light load has the floor", 5, time.Second, notRun, false, 5, 5},
+		{"a heavy load has a tenth and the floor", 10_000, time.Millisecond, notRun, false, 1000, 1000 + floor + 10},
+		{"what may have run is not retried", 100, time.Millisecond, unknown, false, 0, 0},
+		{"unless the route may be repeated", 5, time.Millisecond, unknown, true, 5, 5},
+	}
+	for _, c := range cases {
+		b := NewBudget(Options{})
+		now := time.Unix(1000, 0)
+		retries := 0
+		for range c.requests {
+			b.First()
+			if b.Allow(now, c.refusal, c.repeatable) {
+				retries++
+			}
+			now = now.Add(c.gap)
+		}
+		if retries < c.least || retries > c.most {
+			t.Errorf("%s: %d retries, want %d to %d", c.name, retries, c.least, c.most)
+		}
+	}
+}
