--- a/link/peer/header.go
+++ b/link/peer/header.go
@@ -25,10 +25,14 @@
 	ZonesHeard []ZoneNews
 }
 
-// QuarantineNote says that a fingerprint must not run for some time.
+// QuarantineNote says that a fingerprint must not run for some time, or that it
+// is a suspect, which must not run beside another suspect.
 type QuarantineNote struct {
 	Fingerprint contract.Fingerprint
 	For         time.Duration
+	Suspect     bool
+	// Crashes name the crashes at which the fingerprint was present.
+	Crashes []uint64
 }
 
 // ZoneNews says how long ago an availability zone was heard from.
--- /dev/null
+++ b/upstream/placement/timing_test.go
@@ -0,0 +1,151 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+const ms = time.Millisecond
+
+// TestFeasible asks for a prompt of 1,000 tokens, which takes 100 ms.
+func TestFeasible(t *testing.T) {
+	queue := func(tokens contract.Tokens) func(b *Board) {
+		return func(b *Board) {
+			for _, id := range []upstream.ID{"pa", "pb"} {
+				l := loadOf(id, upstream.RolePrefill)
+				l.QueuedTokens = tokens
+				b.Observe(start, l)
+			}
+		}
+	}
+	link := func(backlog time.Duration) func(b *Board) {
+		return func(b *Board) {
+			for _, id := range []upstream.ID{"a1", "a2", "b1", "c1"} {
+				l := loadOf(id, upstream.RoleDecode)
+				l.TransferBacklog = backlog
+				b.Observe(start, l)
+			}
+		}
+	}
+	cases := []struct {
+		name   string
+		change func(b *Board)
+		slack  time.Duration
+		at     time.Duration
+		want   bool
+	}{
+		{"idle", func(*Board) {}, 101 * ms, 0, true},
+		{"idle, too little slack", func(*Board) {}, 99 * ms, 0, false},
+		{"queued", queue(2000), 301 * ms, 0, true},
+		{"queued too long", queue(2000), 299 * ms, 0, false},
+		{"the queue drains", queue(2000), 201 * ms, 100 * ms, true},
+		{"the link is taken for too long", link(400 * ms), 300 * ms, 0, false},
+		{"the link opens in time", link(200 * ms), 300 * ms, 0, true},
+		{"a cached prefix may help", func(b *Board) { queue(2000)(b); b.PrefixStored(start, "pa", 7) }, 290 * ms, 0, true},
+		{"late already", func(*Board) {}, 0, 0, false},
+		{"nothing is known", func(b *Board) { b.SetUpstreams(start, nil) }, 1 * ms, 0, true},
+		{"old reports say nothing", queue(99_000), 1 * ms, time.Minute, true},
+	}
+	for _, c := range cases {
+		b, _ := newBoard(t, Options{})
+		c.change(b)
+		n := need
+		n.Slack, n.Prefix = c.slack, 7
+		if got := b.Feasible(start.Add(c.at), n); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestPrefix counts which engine gets prompts whose prefix pb holds.
+func TestPrefix(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(b *Board)
+		want   upstream.ID
+	}{
+		{"the one that has it", func(*Board) {}, "pb"},
+		{"not when its queue costs more than it saves", func(b *Board) {
+			l := loadOf("pb", upstream.RolePrefill)
+			l.QueuedTokens = 900
+			b.Observe(start, l)
+		}, "pa"},
+		{"not when it was evicted and the other has it", func(b *Board) { b.PrefixRemoved(start, "pb", 7); b.PrefixStored(start, "pa", 7) }, "pa"},
+		{"less after a gap", func(b *Board) {
+			b.PrefixGap(start, "pb")
+			b.PrefixStored(start, "pa", 7)
+		}, "pa"},
+		{"not when it fails", func(b *Board) { b.Failed(start, "pb") }, "pa"},
+	}
+	for _, c := range cases {
+		b, _ := newBoard(t, Options{})
+		b.PrefixStored(start, "pb", 7)
+		c.change(b)
+		n := need
+		n.Prefix = 7
+		if got := b.Prefill(start, n)[0].ID; got != c.want {
+			t.Errorf("%s: %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestTiming(t *testing.T) {
+	for _, c := range []struct{ window, estimate, want time.Duration }{
+		{0, 100 * ms, 0}, {100 * ms, 100 * ms, 0}, {500 * ms, 100 * ms, 400*ms - prefillMargin},
+	} {
+		if got := StartIn(c.window, c.estimate); got != c.want {
+			t.Errorf("StartIn(%v, %v) is %v, want %v", c.window, c.estimate, got, c.want)
+		}
+	}
+	for _, c := range []struct{ got, want int }{
+		{PrefillPriority(400*ms, 400*ms), 0}, {PrefillPriority(200*ms, 400*ms), 5}, {PrefillPriority(-ms, 400*ms), 9},
+		{PrefillPriority(0, 0), 0}, {DecodePriority(0), 0}, {DecodePriority(30 * ms), 9}, {DecodePriority(10 * time.Second), 1},
+	} {
+		if c.got != c.want {
+			t.Errorf("priority %d, want %d", c.got, c.want)
+		}
+	}
+}
+
+// TestEveryRunnerIsWatched builds the boards of 370 entries over 4,800 runners
+// in 10 availability zones with 9 models in two roles.
+func TestEveryRunnerIsWatched(t *testing.T) {
+	const entries, runners, zones, models = 370, 4800, 10, 9
+	place := func(i int) zone.Place {
+		z := i % zones
+		return zone.Place{Region: zone.Region(fmt.Sprint(z / 2)), Zone: zone.AvailabilityZone(fmt.Sprint(z))}
+	}
+	ups := make(map[upstream.ID]upstream.Upstream, runners)
+	for i := range runners {
+		id := upstream.ID(fmt.Sprint("u", i))
+		u := engineAt(id, upstream.Role(1+i/zones%2), place(i))
+		u.Models = []contract.ModelName{contract.ModelName(fmt.Sprint("m", i/zones/2%models))}
+		ups[id] = u
+	}
+	watchers := make(map[upstream.ID]int)
+	for e := range entries {
+		b, err := NewBoard(Options{Self: place(e), Seed: uint64(e)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.SetUpstreams(start, ups)
+		watched := b.Watched(start)
+		if limit := DefaultWatch * 2 * models; len(watched) > limit {
+			t.Fatalf("entry %d watches %d runners, more than %d", e, len(watched), limit)
+		}
+		for _, c := range watched {
+			if !c.Place.SameZone(place(e)) {
+				t.Fatalf("entry %d watches %s of another zone, with enough in its own", e, c.ID)
+			}
+			watchers[c.ID]++
+		}
+	}
+	if len(watchers) != runners {
+		t.Errorf("%d of %d runners are watched", len(watchers), runners)
+	}
+}
