Ledger: lapsed grants count until the engine has freed them; polls renew prefills

Change: Ledger.Lapsed returns each lapsed call once and keeps counting it until Release; Renew covers prefills, whose lease is now an ordinary one. Board.PrefillIn estimates without counting work as sent. Ruled out: a longer lease for prefills, since an entry that dies would hold them.

--- a/instance/sidecar/running.go
+++ b/instance/sidecar/running.go
@@ -136,7 +136,7 @@
 // sweep ends calls whose grants were not renewed and drops old output.
 func (s *Sidecar) sweep(h *table.Held) []pool.Effect {
 	var expired []contract.CallID
-	s.ledger.With(h, func(l **engine.Ledger) { expired = (*l).Expire(s.clock.Now()) })
+	s.ledger.With(h, func(l **engine.Ledger) { expired = (*l).Lapsed(s.clock.Now()) })
 	for _, call := range expired {
 		s.log.Info("lease ran out", "request", call.Request, "attempt", call.Attempt)
 	}
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -61,7 +61,10 @@
 	ask     Ask
 	opens   time.Time
 	expires time.Time
+	// running means that the upstream has the call.
 	running bool
+	// lapsed means that Lapsed has returned the call.
+	lapsed bool
 }
 
 // Ledger is the record of all that a sidecar has promised of one upstream.
@@ -136,8 +139,8 @@
 	return Grant{WindowIn: max(0, held.opens.Sub(now)), Lease: l.limits.Lease}
 }
 
-// refuseNew refuses work that finds no room. Lapsed grants count until Expire
-// removes them, because the upstream still holds their memory.
+// refuseNew refuses work that finds no room. Lapsed grants count until they are
+// released, because the upstream still holds their memory.
 func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
 	switch {
 	case l.leaving:
@@ -165,16 +168,10 @@
 		return contract.RefuseRepeat(contract.CodeOverCapacity, l.prefillTime(l.queued), fmt.Sprintf("upstream %s has %d prompt tokens queued", l.id, l.queued))
 	}
 	l.queued += a.Tokens
-	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.prefillLease(a))}
+	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.limits.Lease)}
 	return nil
 }
 
-// prefillLease bounds how long a prefill counts if nobody releases it: nobody
-// renews it, so it is twice the time that the queue should take, and a lease.
-func (l *Ledger) prefillLease(a Ask) time.Duration {
-	return a.ReadyIn + 2*l.prefillTime(l.queued) + l.limits.Lease
-}
-
 func (l *Ledger) prefillTime(tokens contract.Tokens) time.Duration {
 	if l.limits.PrefillPerSecond <= 0 {
 		return 0
@@ -182,20 +179,29 @@
 	return time.Duration(tokens) * time.Second / time.Duration(l.limits.PrefillPerSecond)
 }
 
-// Renew prolongs the owner's grants and returns the calls that hold none. A
-// grant whose lease ran out is not prolonged: its holder was away too long.
+// Renew prolongs what the owner's calls hold and returns the calls that hold
+// nothing. What has lapsed is not prolonged: its holder was away too long.
 func (l *Ledger) Renew(now time.Time, owner instance.Identity, calls []contract.CallID) (unknown []contract.CallID) {
+	until := now.Add(l.limits.Lease)
 	for _, call := range calls {
-		held, ok := l.grants[call]
-		if !ok || !held.ownedBy(owner) || !now.Before(held.expires) {
+		granted := l.grants[call].renew(now, until, owner)
+		queued := l.prefills[call].renew(now, until, owner)
+		if !granted && !queued {
 			unknown = append(unknown, call)
-			continue
 		}
-		held.expires = now.Add(l.limits.Lease)
 	}
 	return unknown
 }
 
+// renew prolongs a grant of the owner that has not lapsed.
+func (g *grant) renew(now, until time.Time, owner instance.Identity) bool {
+	if g == nil || !g.ownedBy(owner) || !now.Before(g.expires) {
+		return false
+	}
+	g.expires = until
+	return true
+}
+
 // Holds reports whether the call has a grant whose lease runs.
 func (l *Ledger) Holds(now time.Time, call contract.CallID) bool {
 	held, ok := l.grants[call]
@@ -206,7 +212,7 @@
 // the upstream dies. It reports whether the call holds anything.
 func (l *Ledger) Start(now time.Time, call contract.CallID) bool {
 	started := false
-	for _, table := range []map[contract.CallID]*grant{l.grants, l.prefills} {
+	for _, table := range l.tables() {
 		if held, ok := table[call]; ok && now.Before(held.expires) {
 			held.running = true
 			started = true
@@ -215,6 +221,16 @@
 	return started
 }
 
+// Ask gives what a call asked for when it got its grant; ok is false if it holds
+// none.
+func (l *Ledger) Ask(call contract.CallID) (a Ask, ok bool) {
+	held, ok := l.grants[call]
+	if !ok {
+		return Ask{}, false
+	}
+	return held.ask, true
+}
+
 // Transferred gives back what is left of the call's window on the import link.
 func (l *Ledger) Transferred(call contract.CallID) {
 	l.link.Release(call)
@@ -222,6 +238,10 @@
 
 // Release gives back all that a call holds and reports whether it held any.
 func (l *Ledger) Release(_ time.Time, call contract.CallID) bool {
+	return l.drop(call)
+}
+
+func (l *Ledger) drop(call contract.CallID) bool {
 	granted := l.dropGrant(call)
 	queued := l.dropPrefill(call)
 	return granted || queued
@@ -248,35 +268,36 @@
 	return true
 }
 
-// Expire removes the grants whose lease ran out and returns their calls, which
-// the sidecar then cancels at the upstream.
-func (l *Ledger) Expire(now time.Time) []contract.CallID {
-	return l.drop(func(held *grant) bool { return !now.Before(held.expires) })
+// Lapsed returns the calls whose lease ran out, each once. The sidecar cancels
+// them at the upstream and releases them then; until that they count.
+func (l *Ledger) Lapsed(now time.Time) []contract.CallID {
+	var calls []contract.CallID
+	for _, table := range l.tables() {
+		for call, held := range table {
+			if !held.lapsed && !now.Before(held.expires) {
+				held.lapsed = true
+				calls = append(calls, call)
+			}
+		}
+	}
+	slices.SortFunc(calls, compareCalls)
+	return slices.Compact(calls)
 }
 
 // Reset forgets everything, because the upstream was restarted, and returns the
 // calls that held something.
 func (l *Ledger) Reset() []contract.CallID {
-	calls := l.drop(func(*grant) bool { return true })
+	var calls []contract.CallID
+	for _, a := range l.Running() {
+		if l.drop(a.Call) {
+			calls = append(calls, a.Call)
+		}
+	}
 	l.link.Clear()
 	return calls
 }
 
-// drop removes what matches from both tables, in order of calls.
-func (l *Ledger) drop(match func(*grant) bool) []contract.CallID {
-	var calls []contract.CallID
-	for call, held := range l.grants {
-		if match(held) {
-			l.dropGrant(call)
-			calls = append(calls, call)
-		}
-	}
-	for call, held := range l.prefills {
-		if match(held) {
-			l.dropPrefill(call)
-			calls = append(calls, call)
-		}
-	}
-	slices.SortFunc(calls, compareCalls)
-	return slices.Compact(calls)
+// tables lists the grants and the prefills.
+func (l *Ledger) tables() []map[contract.CallID]*grant {
+	return []map[contract.CallID]*grant{l.grants, l.prefills}
 }
--- a/upstream/engine/report.go
+++ b/upstream/engine/report.go
@@ -23,7 +23,7 @@
 
 func (l *Ledger) asks(match func(*grant) bool) []Ask {
 	var asks []Ask
-	for _, table := range []map[contract.CallID]*grant{l.grants, l.prefills} {
+	for _, table := range l.tables() {
 		for _, held := range table {
 			if match(held) {
 				asks = append(asks, held.ask)
--- a/upstream/placement/timing.go
+++ b/upstream/placement/timing.go
@@ -56,6 +56,12 @@
 	return !ok || needed <= n.Slack
 }
 
+// PrefillIn estimates how soon a prefill could be done. Unlike Prefill it counts
+// nothing as sent; ok is false when nothing is known about the engines.
+func (b *Board) PrefillIn(now time.Time, n Need) (needed time.Duration, ok bool) {
+	return b.least(now, poolKey{upstream.RolePrefill, string(n.Model)}, n)
+}
+
 // FirstTokenIn estimates the least time to the first token of a new request; ok
 // is false when nothing is known about the upstreams it needs.
 func (b *Board) FirstTokenIn(now time.Time, n Need) (needed time.Duration, ok bool) {
