--- a/link/peer/header.go
+++ b/link/peer/header.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 )
 
 // Header opens each message and each reply.
@@ -19,22 +20,12 @@
 	// Revision is the highest configuration revision that the sender has.
 	Revision contract.Revision
 	// Quarantine tells of requests that crash upstreams.
-	Quarantine []QuarantineNote
+	Quarantine []quarantine.Note
 	// ZonesHeard are the availability zones from which the sender heard
 	// lately, with the age of the news.
 	ZonesHeard []ZoneNews
 }
 
-// QuarantineNote says that a fingerprint must not run for some time, or that it
-// is a suspect, which must not run beside another suspect.
-type QuarantineNote struct {
-	Fingerprint contract.Fingerprint
-	For         time.Duration
-	Suspect     bool
-	// Crashes name the crashes at which the fingerprint was present.
-	Crashes []uint64
-}
-
 // ZoneNews says how long ago an availability zone was heard from.
 type ZoneNews struct {
 	Zone string
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -72,6 +72,7 @@
 	id       upstream.ID
 	limits   Limits
 	leaving  bool
+	down     bool
 	grants   map[contract.CallID]*grant
 	prefills map[contract.CallID]*grant
 	blocks   int
@@ -105,6 +106,12 @@
 	l.leaving = leaving
 }
 
+// SetDown says whether the upstream does not answer, so that new work is refused
+// until it does.
+func (l *Ledger) SetDown(down bool) {
+	l.down = down
+}
+
 // Reserve grants a slot, blocks and a window on the import link, all or
 // nothing. Asked again for a call that holds a grant, it renews that grant.
 func (l *Ledger) Reserve(now time.Time, a Ask) (Grant, *contract.Refusal) {
@@ -142,9 +149,10 @@
 // refuseNew refuses work that finds no room. Lapsed grants count until they are
 // released, because the upstream still holds their memory.
 func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
+	if refusal := l.closed(); refusal != nil {
+		return refusal
+	}
 	switch {
-	case l.leaving:
-		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
 	case len(l.grants) >= l.limits.Slots:
 		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no free slot", l.id))
 	case l.blocks+a.Blocks > l.limits.Blocks && a.Blocks > 0:
@@ -154,14 +162,26 @@
 	}
 }
 
+// closed refuses all new work of an upstream that is leaving or down.
+func (l *Ledger) closed() *contract.Refusal {
+	switch {
+	case l.leaving:
+		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	case l.down:
+		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s does not answer", l.id))
+	default:
+		return nil
+	}
+}
+
 // AcceptPrefill queues a prompt, bounded by tokens. Release takes it out of the
 // queue. One prompt is accepted whatever its length when the queue is empty.
 func (l *Ledger) AcceptPrefill(now time.Time, a Ask) *contract.Refusal {
 	if _, ok := l.prefills[a.Call]; ok {
 		return nil
 	}
-	if l.leaving {
-		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	if refusal := l.closed(); refusal != nil {
+		return refusal
 	}
 	limit := l.limits.MaxQueuedTokens
 	if limit > 0 && l.queued > 0 && l.queued+a.Tokens > limit {
@@ -238,10 +258,6 @@
 
 // Release gives back all that a call holds and reports whether it held any.
 func (l *Ledger) Release(_ time.Time, call contract.CallID) bool {
-	return l.drop(call)
-}
-
-func (l *Ledger) drop(call contract.CallID) bool {
 	granted := l.dropGrant(call)
 	queued := l.dropPrefill(call)
 	return granted || queued
@@ -284,19 +300,6 @@
 	return slices.Compact(calls)
 }
 
-// Reset forgets everything, because the upstream was restarted, and returns the
-// calls that held something.
-func (l *Ledger) Reset() []contract.CallID {
-	var calls []contract.CallID
-	for _, a := range l.Running() {
-		if l.drop(a.Call) {
-			calls = append(calls, a.Call)
-		}
-	}
-	l.link.Clear()
-	return calls
-}
-
 // tables lists the grants and the prefills.
 func (l *Ledger) tables() []map[contract.CallID]*grant {
 	return []map[contract.CallID]*grant{l.grants, l.prefills}
--- a/upstream/engine/report.go
+++ b/upstream/engine/report.go
@@ -36,7 +36,7 @@
 
 // Load says what a new grant could take now.
 func (l *Ledger) Load(now time.Time) upstream.Load {
-	return upstream.Load{
+	load := upstream.Load{
 		Upstream:            l.id,
 		Role:                l.limits.Role,
 		Slots:               l.limits.Slots,
@@ -50,6 +50,10 @@
 		Leaving:             l.leaving,
 		At:                  now,
 	}
+	if l.down {
+		load.FreeSlots, load.FreeBlocks = 0, 0
+	}
+	return load
 }
 
 // ownedBy reports whether the same run of the same instance owns the grant.
--- a/upstream/retry/retry.go
+++ b/upstream/retry/retry.go
@@ -1,6 +1,6 @@
 // Package retry bounds how many attempts an entry makes beyond the first ones,
 // so that a fault does not turn into a multiple of the load. A budget has no
-// lock of its own; it lives in the table of requests.
+// lock; it lives in a shared table of rank RankStats.
 package retry
 
 import (
@@ -23,7 +23,7 @@
 const (
 	DefaultShare          = 0.1
 	DefaultFloorPerSecond = 1
-	DefaultFloorBurst     = 10
+	DefaultFloorBurst     = 32
 	DefaultMaxSaved       = 100
 )
 
