--- a/contract/config/upstream.go
+++ b/contract/config/upstream.go
@@ -83,6 +83,9 @@
 			separator = " models "
 		}
 		b.WriteString(separator + string(model))
+		if version, ok := u.Versions[model]; ok {
+			b.WriteString("=" + version)
+		}
 	}
 	return b.String()
 }
@@ -146,6 +149,15 @@
 	if !u.Serves(c.Model) {
 		u.Models = append(slices.Clone(u.Models), c.Model)
 	}
+	if c.Version != "" {
+		versions := map[contract.ModelName]string{c.Model: c.Version}
+		for model, version := range u.Versions {
+			if model != c.Model {
+				versions[model] = version
+			}
+		}
+		u.Versions = versions
+	}
 	return putUpstream(s, u)
 }
 
--- a/link/peer/sidecar.go
+++ b/link/peer/sidecar.go
@@ -178,14 +178,18 @@
 }
 
 // SyncRequest offers a configuration to a peer whose revision is lower, or asks
-// for one if Offer is nil.
+// for one if both Offer and Changes are empty. Header.Revision is the asker's.
 type SyncRequest struct {
 	Header
 	Offer *config.Snapshot
+	// Changes, sent in place of Offer, follow the peer's revision.
+	Changes []config.Change
 }
 
 // SyncReply gives a configuration if the peer's is higher than the asker's.
 type SyncReply struct {
 	Header
 	Snapshot *config.Snapshot
+	// Changes, sent in place of Snapshot, follow the asker's revision.
+	Changes []config.Change
 }
--- a/link/platform/configstore/accept.go
+++ b/link/platform/configstore/accept.go
@@ -19,19 +19,19 @@
 
 // Accept asks the store to take a change that follows the base snapshot. A nil
 // error means that it is accepted and cannot be lost. Otherwise the error wraps
-// ConflictError, ErrNotAccepted or ErrUndecided.
+// config.ConflictError, config.ErrNotAccepted or config.ErrUndecided.
 func (s *Store) Accept(ctx context.Context, base *config.Snapshot, change config.Change) error {
 	h, err := s.readHead(ctx)
 	if err != nil {
-		return errors.Join(ErrNotAccepted, err)
+		return errors.Join(config.ErrNotAccepted, err)
 	}
 	if h.Revision != base.Revision {
-		return &ConflictError{Expected: base.Revision, Winner: h.Revision, By: h.By, At: h.At}
+		return &config.ConflictError{Expected: base.Revision, Winner: h.Revision, By: h.By, At: h.At}
 	}
 	writeID := newWriteID()
 	tx, err := s.transaction(ctx, h, base, change, writeID)
 	if err != nil {
-		return errors.Join(ErrNotAccepted, err)
+		return errors.Join(config.ErrNotAccepted, err)
 	}
 	return s.commit(ctx, tx, change, writeID)
 }
@@ -76,7 +76,7 @@
 			return s.afterConflict(ctx, change, writeID, maybeWritten)
 		case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
 			if !maybeWritten {
-				return errors.Join(ErrNotAccepted, err)
+				return errors.Join(config.ErrNotAccepted, err)
 			}
 		default:
 			maybeWritten = true
@@ -88,7 +88,7 @@
 			break
 		}
 	}
-	return ErrUndecided
+	return config.ErrUndecided
 }
 
 // readBack looks for the outcome of a write whose answer was lost. Finding
@@ -100,7 +100,7 @@
 	}
 	found, err := decodeEntry(rows[0])
 	if err != nil {
-		return true, errors.Join(ErrUndecided, err)
+		return true, errors.Join(config.ErrUndecided, err)
 	}
 	if found.WriteID == writeID {
 		return true, nil
@@ -118,22 +118,22 @@
 		}
 		h, err := s.readHead(ctx)
 		if err == nil && h.Revision >= change.Revision && !maybeWritten {
-			return &ConflictError{Expected: change.Revision - 1, Winner: h.Revision, By: h.By, At: h.At}
+			return &config.ConflictError{Expected: change.Revision - 1, Winner: h.Revision, By: h.By, At: h.At}
 		}
 		if !pause(ctx, acceptBackoff<<attempt) {
 			break
 		}
 	}
 	if !maybeWritten {
-		return errors.Join(ErrNotAccepted, platform.ErrConflict)
+		return errors.Join(config.ErrNotAccepted, platform.ErrConflict)
 	}
-	return ErrUndecided
+	return config.ErrUndecided
 }
 
 // conflict names the highest revision if it can be read, else the one that took
 // this change's place.
 func (s *Store) conflict(ctx context.Context, expected contract.Revision, winner config.Change) error {
-	conflict := &ConflictError{Expected: expected, Winner: winner.Revision, By: winner.By, At: winner.At}
+	conflict := &config.ConflictError{Expected: expected, Winner: winner.Revision, By: winner.By, At: winner.At}
 	if h, err := s.readHead(ctx); err == nil && h.Revision > winner.Revision {
 		conflict.Winner = h.Revision
 		conflict.By = h.By
--- a/link/platform/configstore/load.go
+++ b/link/platform/configstore/load.go
@@ -18,64 +18,54 @@
 // scanLimit is the number of rows read at a time.
 const scanLimit = 256
 
-// Loaded is what Load found.
-type Loaded struct {
-	// Snapshot has the highest revision that was found. It is the one that
-	// the caller had if the store has no higher one.
-	Snapshot *config.Snapshot
-	// Changes lead from the caller's snapshot to this one; nil if a stored
-	// snapshot was read in place of them.
-	Changes []config.Change
-}
-
 // Load reads the newest configuration: the changes since the one at hand if
 // they are still in the log, else the newest stored snapshot and the changes
 // since. With nothing new it costs one read of one row.
-func (s *Store) Load(ctx context.Context, have *config.Snapshot) (Loaded, error) {
+func (s *Store) Load(ctx context.Context, have *config.Snapshot) (config.Loaded, error) {
 	var err error
 	for range loadAttempts {
-		var loaded Loaded
+		var loaded config.Loaded
 		loaded, err = s.loadOnce(ctx, have)
 		if err == nil || !errors.Is(err, errTrimmed) {
 			return loaded, err
 		}
 	}
-	return Loaded{}, errors.Join(ErrUnavailable, err)
+	return config.Loaded{}, errors.Join(ErrUnavailable, err)
 }
 
 // errTrimmed means that the log was trimmed between two reads.
 var errTrimmed = errors.New("configstore: log was trimmed while it was read")
 
-func (s *Store) loadOnce(ctx context.Context, have *config.Snapshot) (Loaded, error) {
+func (s *Store) loadOnce(ctx context.Context, have *config.Snapshot) (config.Loaded, error) {
 	h, err := s.readHead(ctx)
 	if err != nil {
-		return Loaded{}, err
+		return config.Loaded{}, err
 	}
 	if h.Revision <= have.Revision {
-		return Loaded{Snapshot: have}, nil
+		return config.Loaded{Snapshot: have}, nil
 	}
 	if have.Revision+1 >= h.LogFrom {
 		return s.replay(ctx, have, h)
 	}
 	base, err := s.readSnapshot(ctx, h.Snapshot)
 	if err != nil {
-		return Loaded{}, err
+		return config.Loaded{}, err
 	}
 	loaded, err := s.replay(ctx, base, h)
 	loaded.Changes = nil
 	return loaded, err
 }
 
-func (s *Store) replay(ctx context.Context, base *config.Snapshot, h head) (Loaded, error) {
+func (s *Store) replay(ctx context.Context, base *config.Snapshot, h head) (config.Loaded, error) {
 	changes, err := s.readLog(ctx, base.Revision, h.Revision)
 	if err != nil {
-		return Loaded{}, err
+		return config.Loaded{}, err
 	}
 	next, err := config.Replay(base, changes)
 	if err != nil {
-		return Loaded{}, errors.Join(ErrUnreadable, err)
+		return config.Loaded{}, errors.Join(ErrUnreadable, err)
 	}
-	return Loaded{Snapshot: next, Changes: changes}, nil
+	return config.Loaded{Snapshot: next, Changes: changes}, nil
 }
 
 // readLog reads the changes after one revision up to another.
--- a/link/platform/configstore/store.go
+++ b/link/platform/configstore/store.go
@@ -30,35 +30,14 @@
 // SnapshotEvery is the number of changes between two stored snapshots.
 const SnapshotEvery = 64
 
-// Errors of this layer.
+// Errors of this layer. Accept gives those of contract/config.
 var (
-	// ErrNotAccepted means that the store took nothing: the configuration is
-	// as it was.
-	ErrNotAccepted = errors.New("configstore: not accepted, the store took nothing")
-	// ErrUndecided means that the store may have taken the change and could
-	// not be asked. The audit trail will show it.
-	ErrUndecided = errors.New("configstore: undecided, the change may have been accepted; look it up under revisions before repeating it")
 	// ErrUnreadable means that what the store holds cannot be read.
 	ErrUnreadable = errors.New("configstore: stored configuration cannot be read")
 	// ErrUnavailable means that the store could not be read.
 	ErrUnavailable = errors.New("configstore: store unavailable")
 )
 
-// ConflictError means that another change was accepted first.
-type ConflictError struct {
-	Expected contract.Revision
-	// Winner is the highest accepted revision, made by By at At.
-	Winner contract.Revision
-	By     string
-	At     time.Time
-}
-
-// Error implements error.
-func (e *ConflictError) Error() string {
-	return fmt.Sprintf("revision %d was expected, but revision %d by %s was accepted at %s",
-		e.Expected, e.Winner, e.By, e.At.Format(time.RFC3339))
-}
-
 // head is the head row.
 type head struct {
 	Revision contract.Revision
@@ -79,7 +58,7 @@
 	WriteID string
 }
 
-// Store reads and changes the configuration.
+// Store reads and changes the configuration. It implements config.Store.
 type Store struct {
 	table   platform.Table
 	objects platform.Objects
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -85,6 +85,9 @@
 	Pool string
 	// Models are those that an engine serves.
 	Models []contract.ModelName
+	// Versions are those wanted of models; a model that is not in it may have
+	// any version.
+	Versions map[contract.ModelName]string
 	// SidecarAddr is the host:port of the sidecar's peer listener.
 	SidecarAddr string
 }
