Leave trust to zone membership; the spread says how long it is behind

Cause: zone.Membership decides trust already, so the rule stood twice. Change: contract/config drops its copy; Spread.BehindFor is what the membership cannot know: a higher revision was heard of and not fetched.

--- a/contract/config/config_test.go
+++ b/contract/config/config_test.go
@@ -226,7 +226,7 @@
 			t.Fatalf("fetches due: %v", due)
 		}
 		asked = append(asked, due[0].Peer)
-		s.Fetched(now, due[0], true)
+		s.Fetched(now, due[0])
 		if len(s.Due(now)) != 0 {
 			t.Fatal("a failed fetch is repeated at once")
 		}
@@ -235,59 +235,22 @@
 	if want := []string{"p1", "p2", "", "p1"}; !reflect.DeepEqual(asked, want) {
 		t.Errorf("asked %v, want %v", asked, want)
 	}
+	if behind := s.BehindFor(now); behind != now.Sub(start) || behind == 0 {
+		t.Errorf("behind for %v after %v", behind, now.Sub(start))
+	}
 	s.Offer(snapshots[5])
+	if behind := s.BehindFor(now); behind != 0 {
+		t.Errorf("still behind for %v", behind)
+	}
 	if due := s.Due(now); len(due) != 0 {
 		t.Errorf("fetches with nothing wanted: %v", due)
 	}
-	s.Fetched(now, poll[0], false)
+	s.Fetched(now, poll[0])
 	if at, ok := s.NextDue(); !ok || at != start.Add(2*time.Second) {
 		t.Errorf("next read of the store at %v %v", at, ok)
 	}
 }
 
-func TestTrust(t *testing.T) {
-	snapshots, _ := chain(t, 2)
-	all := []zone.AvailabilityZone{"a", "b", "c"}
-	const within = 5 * time.Second
-	setups := map[string]func(s *config.Spread){
-		"nothing found":     func(*config.Spread) {},
-		"cut off":           func(s *config.Spread) { s.Offer(snapshots[1]) },
-		"store just read":   func(s *config.Spread) { s.Offer(snapshots[1]); s.Fetched(start, config.Fetch{Poll: true}, false) },
-		"store read failed": func(s *config.Spread) { s.Offer(snapshots[1]); s.Fetched(start, config.Fetch{Poll: true}, true) },
-		"neighbour heard":   func(s *config.Spread) { s.Offer(snapshots[1]); s.HearZone("b", start) },
-		"neighbour long ago": func(s *config.Spread) {
-			s.Offer(snapshots[1])
-			s.HearZone("b", start.Add(-within))
-		},
-		"behind for long": func(s *config.Spread) {
-			s.Offer(snapshots[1])
-			s.HearZone("b", start)
-			s.Hear(start.Add(-within-1), 2, "")
-		},
-		"behind a moment": func(s *config.Spread) {
-			s.Offer(snapshots[1])
-			s.HearZone("b", start)
-			s.Hear(start.Add(-time.Second), 2, "")
-		},
-	}
-	want := map[config.TrustRule]map[string]bool{
-		config.TrustStore: {"store just read": true},
-		config.TrustZones: {"store just read": true, "neighbour heard": true, "behind a moment": true},
-		config.TrustAny: {"cut off": true, "store just read": true, "store read failed": true, "neighbour heard": true,
-			"neighbour long ago": true, "behind for long": true, "behind a moment": true},
-	}
-	for rule, trusted := range want {
-		for name, setup := range setups {
-			s := config.NewSpread(0)
-			setup(s)
-			got, reason := s.Trusted(start, config.Trust{Rule: rule, Within: within, Own: "a", All: all})
-			if got != trusted[name] || got != (reason == "") {
-				t.Errorf("%s, %s: trusted %v (%s)", rule, name, got, reason)
-			}
-		}
-	}
-}
-
 func BenchmarkApply(b *testing.B) {
 	s := config.Empty()
 	for i := range 9700 {
--- a/contract/config/spread.go
+++ b/contract/config/spread.go
@@ -41,8 +41,6 @@
 	pollEvery time.Duration
 	polling   bool
 	nextPoll  time.Time
-
-	evidence evidence
 }
 
 // Fetch says from where to get the configuration. Perform it without a lock
@@ -167,11 +165,8 @@
 }
 
 // Fetched ends a fetch. What it brought is given to Offer or OfferChanges
-// before; failed is set when it brought no answer.
-func (s *Spread) Fetched(now time.Time, f Fetch, failed bool) {
-	if f.Peer == "" && !failed {
-		s.evidence.storeRead = now
-	}
+// before.
+func (s *Spread) Fetched(now time.Time, f Fetch) {
 	if f.Poll {
 		s.polling = false
 		return
@@ -190,6 +185,16 @@
 	s.nextTry = now.Add(backoff(s.attempts))
 }
 
+// BehindFor gives for how long the node has known of a higher revision than the
+// one in force; 0 when it knows of none. A node that is behind for long must not
+// trust its keys.
+func (s *Spread) BehindFor(now time.Time) time.Duration {
+	if s.behindSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.behindSince)
+}
+
 // source takes the peers in turn and then the store.
 func (s *Spread) source() string {
 	turn := s.attempts % (len(s.sources) + 1)
