--- /dev/null
+++ b/link/operator/shell/interactive.go
@@ -0,0 +1,102 @@
+package shell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/chzyer/readline"
+
+	"github.com/trefoilwalk/trefoilwalk/instance/operator"
+	"github.com/trefoilwalk/trefoilwalk/link/operator/language"
+)
+
+// Words that only the terminal knows.
+const (
+	wordHelp = "help"
+	wordExit = "exit"
+)
+
+// Interactive runs statements from a terminal until it is closed. History is
+// kept in memory only.
+func (s *Shell) Interactive(ctx context.Context) int {
+	terminal, err := readline.NewEx(&readline.Config{
+		Prompt:          "trefoil> ",
+		AutoComplete:    completer{},
+		InterruptPrompt: "^C",
+		EOFPrompt:       wordExit,
+	})
+	if err != nil {
+		_, _ = fmt.Fprintln(s.Err, err)
+		return ExitUsage
+	}
+	defer func() { _ = terminal.Close() }()
+	for {
+		line, err := terminal.Readline()
+		switch {
+		case errors.Is(err, readline.ErrInterrupt):
+			continue
+		case errors.Is(err, io.EOF):
+			return ExitOK
+		case err != nil:
+			_, _ = fmt.Fprintln(s.Err, err)
+			return ExitUsage
+		}
+		if s.typed(ctx, strings.TrimSpace(line)) {
+			return ExitOK
+		}
+	}
+}
+
+// typed runs a line from the terminal and reports whether it ends it.
+func (s *Shell) typed(ctx context.Context, line string) (end bool) {
+	switch line {
+	case wordExit:
+		return true
+	case wordHelp:
+		s.Help()
+	default:
+		s.Line(ctx, line)
+	}
+	return false
+}
+
+// Help lists the language's statements.
+func (s *Shell) Help() {
+	tabs := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(tabs, "Queries: SUBJECT [where COLUMN = VALUE and …] [order by COLUMN [desc], …] [limit N]")
+	for _, subject := range operator.Subjects() {
+		var columns []string
+		for _, c := range operator.ColumnsOf(subject) {
+			columns = append(columns, c.Name)
+		}
+		_, _ = fmt.Fprintf(tabs, "  %s\t%s\n", subject, strings.Join(columns, " "))
+	}
+	_, _ = fmt.Fprintln(tabs, "Commands:")
+	for _, form := range language.Forms() {
+		_, _ = fmt.Fprintf(tabs, "  %s\t%s\n", form.Usage, form.Help)
+		if len(form.Values) > 0 {
+			_, _ = fmt.Fprintf(tabs, "  \tvalues: %s\n", strings.Join(form.Values, " "))
+		}
+	}
+	_, _ = fmt.Fprintln(tabs, "Options of commands:")
+	for _, option := range language.Options() {
+		_, _ = fmt.Fprintf(tabs, "  %s\t%s\n", option.Usage, option.Help)
+	}
+	_ = tabs.Flush()
+}
+
+// completer completes words of the language.
+type completer struct{}
+
+// Do implements readline.AutoCompleter.
+func (completer) Do(line []rune, pos int) (endings [][]rune, length int) {
+	unfinished, words := language.Complete(string(line[:pos]))
+	for _, word := range words {
+		endings = append(endings, []rune(strings.TrimPrefix(word, unfinished)+" "))
+	}
+	return endings, len([]rune(unfinished))
+}
