--- /dev/null
+++ b/link/settings/common.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Where is the place of a process.
+type Where struct {
+	// Name is the instance's name, unique in the fleet; required.
+	Name string `toml:"name"`
+	// Region and Zone are the instance's region and availability zone;
+	// required.
+	Region string `toml:"region"`
+	Zone   string `toml:"zone"`
+}
+
+// Place gives region and availability zone.
+func (w *Where) Place() zone.Place {
+	return zone.Place{Region: zone.Region(w.Region), Zone: zone.AvailabilityZone(w.Zone)}
+}
+
+func (w *Where) check(c *checker) {
+	c.name("name", w.Name)
+	c.name("region", w.Region)
+	c.name("zone", w.Zone)
+}
+
+// Platform says where the platform's services are.
+type Platform struct {
+	// URL is the base URL of the platform's services; required.
+	URL string `toml:"url"`
+	// Timeout bounds one call; default 2s.
+	Timeout Duration `toml:"timeout"`
+}
+
+func defaultPlatform() Platform {
+	return Platform{Timeout: of(2 * time.Second)}
+}
+
+func (p *Platform) check(c *checker) {
+	c.baseURL("platform.url", p.URL)
+	c.duration("platform.timeout", p.Timeout, 10*time.Millisecond, time.Minute)
+}
+
+// Drain bounds a graceful shutdown.
+type Drain struct {
+	// Notice is how long a process is unready, but takes requests, so that the
+	// balancer and the entries learn of it; default 2s.
+	Notice Duration `toml:"notice"`
+	// Limit is how long running requests may take to finish; default 10m.
+	Limit Duration `toml:"limit"`
+}
+
+func defaultDrain() Drain {
+	return Drain{Notice: of(2 * time.Second), Limit: of(10 * time.Minute)}
+}
+
+func (d *Drain) check(c *checker) {
+	c.duration("drain.notice", d.Notice, 0, time.Minute)
+	c.duration("drain.limit", d.Limit, 0, 24*time.Hour)
+}
+
+// Operator may use the operators' listener.
+type Operator struct {
+	// Name stands in the audit trail; required.
+	Name string `toml:"name"`
+	// Role is "reader" or "administrator"; required.
+	Role string `toml:"role"`
+	// KeySHA256 is the hash of the operator's key in hex; required.
+	KeySHA256 string `toml:"key_sha256"`
+}
+
+// Roles of operators.
+const (
+	RoleReader        = "reader"
+	RoleAdministrator = "administrator"
+)
+
+func checkOperators(c *checker, operators []Operator) {
+	for _, o := range operators {
+		c.name("operators.name", o.Name)
+		c.oneOf("operators.role", o.Role, RoleReader, RoleAdministrator)
+		c.sha256("operators.key_sha256", o.KeySHA256)
+	}
+	unique(c, "operators.name", operators, func(o Operator) string { return o.Name })
+	unique(c, "operators.key_sha256", operators, func(o Operator) string { return o.KeySHA256 })
+}
+
+// Bounds of the number of workers.
+const (
+	defaultWorkers = 4
+	mostWorkers    = 256
+)
--- /dev/null
+++ b/link/settings/entry.go
@@ -0,0 +1,225 @@
+package settings
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/link/caller"
+)
+
+// Entry is the settings of an entry.
+type Entry struct {
+	Where
+	// Zones are all availability zones of the fleet, its own among them;
+	// required.
+	Zones []string `toml:"zones"`
+	// Caller, Peer and Operator are the listeners; required.
+	Caller   Listener `toml:"caller"`
+	Peer     Listener `toml:"peer"`
+	Operator Listener `toml:"operator"`
+	Platform Platform `toml:"platform"`
+	// Peers are the peer listeners of some other entries, to start from;
+	// default none.
+	Peers []string `toml:"peers"`
+	// Workers is the size of the worker pool; default 4.
+	Workers int `toml:"workers"`
+	// Limits bound what callers can make the entry hold.
+	Limits CallerLimits `toml:"limits"`
+	Rates  Rates        `toml:"rates"`
+	// Placement chooses upstreams.
+	Placement Placement `toml:"placement"`
+	// Trust says when keyed routes may be served.
+	Trust Trust `toml:"trust"`
+	// Claims bounds requests that may not be repeated.
+	Claims Claims `toml:"claims"`
+	// Operators may use the operators' listener; default none.
+	Operators []Operator `toml:"operators"`
+	Drain     Drain      `toml:"drain"`
+}
+
+// CallerLimits are the limits of the callers' front end.
+type CallerLimits struct {
+	// HeaderBytes bounds the headers of a request; default 16KiB.
+	HeaderBytes Size `toml:"header_bytes"`
+	// HeaderTimeout bounds the time to send the headers; default 5s.
+	HeaderTimeout Duration `toml:"header_timeout"`
+	// BodyBytes bounds the body of a request; default 4MiB.
+	BodyBytes Size `toml:"body_bytes"`
+	// BodyTimeout bounds the time to send the body; default 10s.
+	BodyTimeout Duration `toml:"body_timeout"`
+	// HeldBytes bounds the bodies of all running requests; default 128MiB.
+	HeldBytes Size `toml:"held_bytes"`
+	// Connections bounds the callers' open connections; default 4096.
+	Connections int `toml:"connections"`
+	// IdleTimeout closes connections with no request; default 1m.
+	IdleTimeout Duration `toml:"idle_timeout"`
+	// WriteTimeout bounds each write to a caller; default 10s.
+	WriteTimeout Duration `toml:"write_timeout"`
+	// MaxTokens is the most that a caller may ask to generate; default 8192.
+	MaxTokens int64 `toml:"max_tokens"`
+	// DefaultMaxTokens applies when a caller gives no limit; default 256.
+	DefaultMaxTokens int64 `toml:"default_max_tokens"`
+	// Running bounds the requests that are admitted at a time; default 2048.
+	Running int `toml:"running"`
+}
+
+// Rates says how an account's rate is kept across the entries.
+type Rates struct {
+	// Policy is "escrow" or "split"; default "escrow".
+	Policy string `toml:"policy"`
+	// Promise is the lease of a promise between two entries; default 2s.
+	Promise Duration `toml:"promise"`
+	// Heartbeat is the time between two heartbeats of a pair; default 250ms.
+	Heartbeat Duration `toml:"heartbeat"`
+}
+
+// Policies of rates.
+const (
+	RatesEscrow = "escrow"
+	RatesSplit  = "split"
+)
+
+// Placement says how upstreams are chosen.
+type Placement struct {
+	// Policy is "reserve", "least-loaded" or "random-of-two"; default
+	// "reserve".
+	Policy string `toml:"policy"`
+	// Watch is how many upstreams of each pool are watched; default 16.
+	Watch int `toml:"watch"`
+}
+
+// Policies of placement.
+const (
+	PlacementReserve     = "reserve"
+	PlacementLeastLoaded = "least-loaded"
+	PlacementRandomOfTwo = "random-of-two"
+)
+
+// Trust says when an entry may serve keyed routes from the configuration it has.
+type Trust struct {
+	// Rule is "store", "zones" or "any"; default "zones": the store was read,
+	// or more than half of the availability zones were heard from, within
+	// Within.
+	Rule string `toml:"rule"`
+	// Within is how old the news may be; default 5s.
+	Within Duration `toml:"within"`
+}
+
+// Claims bounds requests on routes that may not be repeated.
+type Claims struct {
+	// Keep is how long an outcome is kept for repeats; default 24h.
+	Keep Duration `toml:"keep"`
+	// SweepEvery is the time between two sweeps of old outcomes; default 10s.
+	SweepEvery Duration `toml:"sweep_every"`
+	// SweepBatch is the most outcomes deleted in one sweep; default 50.
+	SweepBatch int `toml:"sweep_batch"`
+}
+
+// DefaultEntry gives the settings of an entry that says nothing.
+func DefaultEntry() Entry {
+	return Entry{
+		Platform:  defaultPlatform(),
+		Workers:   defaultWorkers,
+		Limits:    defaultCallerLimits(),
+		Rates:     Rates{Policy: RatesEscrow, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
+		Placement: Placement{Policy: PlacementReserve, Watch: 16},
+		Trust:     Trust{Rule: "zones", Within: of(5 * time.Second)},
+		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
+		Drain:     defaultDrain(),
+	}
+}
+
+// defaultRunning is the default of CallerLimits.Running.
+const defaultRunning = 2048
+
+func defaultCallerLimits() CallerLimits {
+	l := caller.DefaultLimits()
+	return CallerLimits{
+		HeaderBytes:      bytes(int64(l.HeaderBytes)),
+		HeaderTimeout:    of(l.HeaderTimeout),
+		BodyBytes:        bytes(l.BodyBytes),
+		BodyTimeout:      of(l.BodyTimeout),
+		HeldBytes:        bytes(l.HeldBytes),
+		Connections:      l.Connections,
+		IdleTimeout:      of(l.IdleTimeout),
+		WriteTimeout:     of(l.WriteTimeout),
+		MaxTokens:        l.MaxTokens,
+		DefaultMaxTokens: l.DefaultMaxTokens,
+		Running:          defaultRunning,
+	}
+}
+
+// Caller gives the limits in the front end's own type.
+func (l *CallerLimits) Caller() caller.Limits {
+	return caller.Limits{
+		HeaderBytes:      int(l.HeaderBytes.Bytes),
+		HeaderTimeout:    l.HeaderTimeout.Duration,
+		BodyBytes:        l.BodyBytes.Bytes,
+		BodyTimeout:      l.BodyTimeout.Duration,
+		HeldBytes:        l.HeldBytes.Bytes,
+		Connections:      l.Connections,
+		IdleTimeout:      l.IdleTimeout.Duration,
+		WriteTimeout:     l.WriteTimeout.Duration,
+		MaxTokens:        l.MaxTokens,
+		DefaultMaxTokens: l.DefaultMaxTokens,
+	}
+}
+
+func (s *Entry) check(c *checker) {
+	s.Where.check(c)
+	s.checkZones(c)
+	s.Caller.check(c, "caller")
+	s.Peer.checkPeer(c, "peer")
+	s.Operator.check(c, "operator")
+	s.Platform.check(c)
+	c.addrs("peers", s.Peers)
+	between(c, "workers", s.Workers, 1, mostWorkers)
+	s.Limits.check(c)
+	s.Rates.check(c)
+	s.checkPolicies(c)
+	checkOperators(c, s.Operators)
+	s.Drain.check(c)
+}
+
+func (s *Entry) checkZones(c *checker) {
+	for _, name := range s.Zones {
+		c.name("zones", name)
+	}
+	unique(c, "zones", s.Zones, func(name string) string { return name })
+	if !slices.Contains(s.Zones, s.Zone) {
+		c.add("zones", "must list all availability zones, %q among them", s.Zone)
+	}
+}
+
+func (s *Entry) checkPolicies(c *checker) {
+	c.oneOf("placement.policy", s.Placement.Policy, PlacementReserve, PlacementLeastLoaded, PlacementRandomOfTwo)
+	between(c, "placement.watch", s.Placement.Watch, 1, 1000)
+	c.oneOf("trust.rule", s.Trust.Rule, "store", "zones", "any")
+	c.duration("trust.within", s.Trust.Within, 500*time.Millisecond, time.Hour)
+	c.duration("claims.keep", s.Claims.Keep, time.Minute, 90*24*time.Hour)
+	c.duration("claims.sweep_every", s.Claims.SweepEvery, 100*time.Millisecond, time.Hour)
+	between(c, "claims.sweep_batch", s.Claims.SweepBatch, 1, 500)
+}
+
+func (r *Rates) check(c *checker) {
+	c.oneOf("rates.policy", r.Policy, RatesEscrow, RatesSplit)
+	c.duration("rates.promise", r.Promise, 100*time.Millisecond, time.Minute)
+	c.duration("rates.heartbeat", r.Heartbeat, 10*time.Millisecond, time.Minute)
+	if 2*r.Heartbeat.Duration > r.Promise.Duration {
+		c.add("rates.promise", "must be at least twice rates.heartbeat, so that one lost heartbeat ends no promise")
+	}
+}
+
+func (l *CallerLimits) check(c *checker) {
+	c.size("limits.header_bytes", l.HeaderBytes, 1<<10, 1<<20)
+	c.duration("limits.header_timeout", l.HeaderTimeout, 10*time.Millisecond, time.Minute)
+	c.size("limits.body_bytes", l.BodyBytes, 1<<10, 1<<30)
+	c.duration("limits.body_timeout", l.BodyTimeout, 10*time.Millisecond, 10*time.Minute)
+	c.size("limits.held_bytes", l.HeldBytes, l.BodyBytes.Bytes, 64<<30)
+	between(c, "limits.connections", l.Connections, 1, 1_000_000)
+	c.duration("limits.idle_timeout", l.IdleTimeout, time.Second, time.Hour)
+	c.duration("limits.write_timeout", l.WriteTimeout, 10*time.Millisecond, 10*time.Minute)
+	between(c, "limits.max_tokens", l.MaxTokens, 1, 1<<20)
+	between(c, "limits.default_max_tokens", l.DefaultMaxTokens, 1, l.MaxTokens)
+	between(c, "limits.running", l.Running, 1, 1_000_000)
+}
--- /dev/null
+++ b/link/settings/listener.go
@@ -0,0 +1,84 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"os"
+)
+
+// Listener is where a process takes connections. Either certificate and key are
+// given, or plain_text is true; there is no default.
+type Listener struct {
+	// Listen is an IP number and a port; required.
+	Listen string `toml:"listen"`
+	// TLSCert and TLSKey are PEM files; no default.
+	TLSCert string `toml:"tls_cert"`
+	TLSKey  string `toml:"tls_key"`
+	// TLSClientCA is a PEM file; if given, clients must show a certificate of
+	// this authority, and the process's own calls on this link check against
+	// it too. No default; required for the peer listener with TLS.
+	TLSClientCA string `toml:"tls_client_ca"`
+	// PlainText leaves connections open to whoever can read the network;
+	// default false.
+	PlainText bool `toml:"plain_text"`
+}
+
+// minTLS is the oldest version of TLS that is spoken.
+const minTLS = tls.VersionTLS13
+
+// TLS gives the configuration for the listener and for calls on the same link;
+// nil for plain text.
+func (l *Listener) TLS() (*tls.Config, error) {
+	if l.PlainText {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(l.TLSCert, l.TLSKey)
+	if err != nil {
+		return nil, fmt.Errorf("certificate or key: %w", err)
+	}
+	config := &tls.Config{MinVersion: minTLS, Certificates: []tls.Certificate{cert}}
+	if l.TLSClientCA == "" {
+		return config, nil
+	}
+	pem, err := os.ReadFile(l.TLSClientCA)
+	if err != nil {
+		return nil, fmt.Errorf("authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.New("authority: no certificate in the file")
+	}
+	config.ClientCAs = pool
+	config.RootCAs = pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+// check checks a listener. Certificates are read, so that a wrong one shows
+// before the process starts.
+func (l *Listener) check(c *checker, key string) {
+	c.addr(key+".listen", l.Listen)
+	given := l.TLSCert != "" || l.TLSKey != "" || l.TLSClientCA != ""
+	switch {
+	case l.PlainText && given:
+		c.add(key+".plain_text", "contradicts the TLS files")
+	case l.PlainText:
+	case l.TLSCert == "" || l.TLSKey == "":
+		c.add(key, "needs tls_cert and tls_key, or plain_text = true")
+	default:
+		if _, err := l.TLS(); err != nil {
+			c.add(key+".tls_cert", "%v", err)
+		}
+	}
+}
+
+// checkPeer is check for the link between the system's own processes, where
+// both sides show certificates.
+func (l *Listener) checkPeer(c *checker, key string) {
+	l.check(c, key)
+	if !l.PlainText && l.TLSClientCA == "" {
+		c.add(key+".tls_client_ca", "is needed with TLS, so that only the system's own processes are let in")
+	}
+}
--- /dev/null
+++ b/link/settings/settings_test.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const goodEntry = `name = "entry-1"
+region = "saurashtra"
+zone = "rajkot-a"
+zones = ["rajkot-a", "morbi"]
+peers = ["127.0.0.1:7102"]
+[caller]
+listen = "127.0.0.1:8080"
+plain_text = true
+[peer]
+listen = "127.0.0.1:7101"
+plain_text = true
+[operator]
+listen = "127.0.0.1:9101"
+plain_text = true
+[platform]
+url = "http://127.0.0.1:6000"
+[limits]
+body_bytes = "10MB"
+body_timeout = "250ms"
+[[operators]]
+name = "ann"
+role = "administrator"
+key_sha256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+`
+
+const goodSidecar = `name = "sidecar-1"
+region = "saurashtra"
+zone = "rajkot-a"
+[peer]
+listen = "[::1]:7201"
+plain_text = true
+[operator]
+listen = "127.0.0.1:9201"
+plain_text = true
+[platform]
+url = "https://10.0.0.9:6000"
+[upstream]
+id = "decode-1"
+kind = "engine"
+url = "http://127.0.0.1:8000"
+role = "decode"
+models = ["weave-7b"]
+`
+
+// TestProblems pins every report. A row replaces one text of a good file.
+func TestProblems(t *testing.T) {
+	cases := []struct{ name, old, new string }{
+		{"entry_good", "", ""},
+		{"entry_unknown_keys", `peers =`, "worker = 3\npeers ="},
+		{"entry_unknown_in_table", `body_bytes`, "body_byte = 1\nbody_bytes"},
+		{"entry_name_for_address", `"127.0.0.1:8080"`, `"localhost:8080"`},
+		{"entry_port_zero", `"127.0.0.1:8080"`, `"127.0.0.1:0"`},
+		{"entry_size_without_unit", `"10MB"`, `10`},
+		{"entry_duration_without_unit", `"250ms"`, `250`},
+		{"entry_duration_high", `"250ms"`, `"25h"`},
+		{"entry_zone_not_listed", `zone = "rajkot-a"`, `zone = "rajkot-b"`},
+		{"entry_listener_undecided", "listen = \"127.0.0.1:8080\"\nplain_text = true", `listen = "127.0.0.1:8080"`},
+		{"entry_listener_both", `listen = "127.0.0.1:8080"`, "listen = \"127.0.0.1:8080\"\ntls_cert = \"a.pem\""},
+		{"entry_certificate_absent", "listen = \"127.0.0.1:8080\"\nplain_text = true", "listen = \"127.0.0.1:8080\"\ntls_cert = \"a.pem\"\ntls_key = \"a.key\""},
+		{"entry_operator_role", `"administrator"`, `"king"`},
+		{"entry_operator_key_in_clear", `"e3b0c4`, `"secret`},
+		{"entry_syntax", `region = "saurashtra"`, `region = saurashtra`},
+		{"entry_wrong_type", `region = "saurashtra"`, `region = 5`},
+		{"entry_promise_short", "[limits]", "[rates]\npromise = \"400ms\"\n[limits]"},
+		{"entry_many", goodEntry, "workers = 0\n[platform]\nurl = \"ftp://x\"\n[trust]\nrule = \"none\"\n[peer]\nlisten=\"x\"\ntls_cert=\"c\"\ntls_key=\"k\"\n"},
+		{"sidecar_good", "", ""},
+		{"sidecar_role_of_service", `"engine"`, `"service"`},
+		{"sidecar_no_models", `["weave-7b"]`, `[]`},
+		{"sidecar_url_with_user", `http://127.0.0.1:8000`, `http://u:p@127.0.0.1:8000`},
+	}
+	golden := goldie.New(t)
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			text, err := goodEntry, error(nil)
+			if strings.HasPrefix(c.name, "sidecar") {
+				text = strings.Replace(goodSidecar, c.old, c.new, 1)
+				_, err = DecodeSidecar("sidecar.toml", text)
+			} else {
+				text = strings.Replace(goodEntry, c.old, c.new, 1)
+				_, err = DecodeEntry("entry.toml", text)
+			}
+			report := "accepted"
+			if err != nil {
+				report = err.Error()
+			}
+			golden.Assert(t, c.name, []byte(report+"\n"))
+		})
+	}
+}
+
+func TestLoadGivesValuesAndDefaults(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "entry.toml")
+	if err := os.WriteFile(path, []byte(goodEntry), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	entry, err := LoadEntry(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	limits := entry.Limits.Caller()
+	if limits.BodyBytes != 10_000_000 || limits.BodyTimeout != 250*time.Millisecond || limits.HeaderBytes != 16<<10 {
+		t.Errorf("limits %+v", limits)
+	}
+	if _, err := LoadSidecar(path + ".absent"); !errors.Is(err, os.ErrNotExist) {
+		t.Errorf("absent file: %v", err)
+	}
+}
