--- a/link/caller/server.go
+++ b/link/caller/server.go
@@ -11,7 +11,9 @@
 // NewServer returns the HTTP server of the callers' listener with all limits
 // set. The caller sets TLSConfig, if any, and calls Serve and Shutdown. There
 // is no limit on a whole answer, since streams last for minutes: each write has
-// its own.
+// its own. Requests whose headers are too slow, too large or malformed never
+// reach the handler: net/http answers 400 or 431 itself, in plain text, and
+// they did not run.
 func NewServer(handler http.Handler, limits Limits, log hclog.Logger) *http.Server {
 	limits = limits.withDefaults()
 	open := &openConns{limit: limits.Connections, counted: make(map[net.Conn]bool)}
