Spread configurations between entries and sidecars, and ask the whole fleet

Cause: a revision must be in force everywhere within 5 s, also where the store cannot be reached, and operators ask the whole fleet. Change: every request's header is stamped and every reply's is heard in one place (link/peer/heard). A caller that learns from a reply that the peer is ahead asks it, one that finds it behind hands it the changes; sidecars call nobody and so relay by answering. Keyed routes are refused, and after a second of grace cut, when the configuration is not trusted any more. Entry and sidecar answer Query; the entry is the operators' Fleet and Node. Small changes of shared interfaces: Query on peer.Entry and peer.Sidecar, Head on headers, ConfigSource.Load gives config.Loaded with the changes.

--- a/contract/config/config_test.go
+++ b/contract/config/config_test.go
@@ -216,10 +216,11 @@
 	if len(poll) != 1 || !poll[0].Poll {
 		t.Fatalf("no first read of the store: %v", poll)
 	}
-	s.Hear(now, 5, "p1")
-	s.Hear(now, 4, "late")
-	s.Hear(now, 5, "p2")
-	var asked []string
+	p1, p2 := config.Peer{Kind: zone.KindEntry, Addr: "p1"}, config.Peer{Kind: zone.KindSidecar, Addr: "p2"}
+	s.Hear(now, 5, p1)
+	s.Hear(now, 4, config.Peer{Addr: "late"})
+	s.Hear(now, 5, p2)
+	var asked []config.Peer
 	for range 4 {
 		due := s.Due(now)
 		if len(due) != 1 || len(s.Due(now)) != 0 {
@@ -232,7 +233,7 @@
 		}
 		now, _ = s.NextDue()
 	}
-	if want := []string{"p1", "p2", "", "p1"}; !reflect.DeepEqual(asked, want) {
+	if want := []config.Peer{p1, p2, {}, p1}; !reflect.DeepEqual(asked, want) {
 		t.Errorf("asked %v, want %v", asked, want)
 	}
 	if behind := s.BehindFor(now); behind != now.Sub(start) || behind == 0 {
@@ -251,6 +252,44 @@
 	}
 }
 
+func TestSpreadHelpsPeers(t *testing.T) {
+	snapshots, changes := chain(t, 8)
+	late := config.Peer{Addr: "late"}
+	cases := []struct {
+		name    string
+		theirs  contract.Revision
+		ok      bool
+		changes int
+		whole   bool
+	}{
+		{"at the same revision", 8, false, 0, false},
+		{"ahead", 9, false, 0, false},
+		{"a little behind", 6, true, 2, false},
+		{"behind what is kept", 2, true, 0, true},
+	}
+	for _, c := range cases {
+		s := config.NewSpread(0)
+		s.Offer(snapshots[4])
+		s.OfferChanges(changes)
+		got, ok := s.Help(late, c.theirs)
+		if ok != c.ok || len(got.Changes) != c.changes || (got.Snapshot != nil) != c.whole {
+			t.Errorf("%s: %v %+v", c.name, ok, got)
+		}
+		if _, again := s.Help(late, c.theirs); again {
+			t.Errorf("%s: two offers at a time", c.name)
+		}
+		s.Helped(late)
+		if _, again := s.Help(late, c.theirs); again != c.ok {
+			t.Errorf("%s: no offer after one that failed", c.name)
+		}
+		peer := config.NewSpread(0)
+		peer.Offer(snapshots[min(c.theirs, 8)])
+		if _, _, complete := peer.Take(got.Snapshot, got.Changes); !complete || peer.Current().Revision != 8 {
+			t.Errorf("%s: the peer has revision %d", c.name, peer.Current().Revision)
+		}
+	}
+}
+
 func BenchmarkApply(b *testing.B) {
 	s := config.Empty()
 	for i := range 9700 {
--- a/contract/config/spread.go
+++ b/contract/config/spread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
 // HistoryLength is how many accepted changes a node keeps, so that a peer that
@@ -24,6 +25,12 @@
 	MaxSources = 4
 )
 
+// Peer is a process that can be asked for the configuration or offered one.
+type Peer struct {
+	Kind zone.Kind
+	Addr string
+}
+
 // Spread holds the configuration in force on one node, which never steps back,
 // and decides from where to fetch a higher one. It lives in a shared table.
 type Spread struct {
@@ -31,7 +38,7 @@
 	history []Change
 
 	wanted   contract.Revision
-	sources  []string
+	sources  []Peer
 	fetching bool
 	attempts int
 	nextTry  time.Time
@@ -41,13 +48,16 @@
 	pollEvery time.Duration
 	polling   bool
 	nextPoll  time.Time
+
+	// offering holds the peers that an offer is under way to.
+	offering map[Peer]bool
 }
 
 // Fetch says from where to get the configuration. Perform it without a lock
 // and give the outcome to Fetched.
 type Fetch struct {
-	// Peer is the address to ask; empty means the store.
-	Peer string
+	// Peer is the one to ask; the zero value means the store.
+	Peer Peer
 	// Have is the snapshot in force, to which changes may be added.
 	Have *Snapshot
 	// Poll marks the periodic read of the store.
@@ -57,7 +67,7 @@
 // NewSpread starts with nothing in force. The store is read every pollEvery;
 // with 0 it is read only when a higher revision was heard of.
 func NewSpread(pollEvery time.Duration) *Spread {
-	return &Spread{current: Empty(), pollEvery: pollEvery}
+	return &Spread{current: Empty(), pollEvery: pollEvery, offering: make(map[Peer]bool)}
 }
 
 // Current gives the snapshot in force.
@@ -114,9 +124,9 @@
 	return slices.Clone(s.history[revision-first:]), true
 }
 
-// Hear notes a revision that came with a message. peer is the address to ask
-// for it, empty when the sender cannot be asked.
-func (s *Spread) Hear(now time.Time, revision contract.Revision, peer string) {
+// Hear notes a revision that came with a message. peer is the one to ask for it,
+// the zero value when the sender cannot be asked.
+func (s *Spread) Hear(now time.Time, revision contract.Revision, peer Peer) {
 	if revision <= s.current.Revision {
 		return
 	}
@@ -129,12 +139,66 @@
 		s.wanted = revision
 		s.sources = nil
 	}
-	if peer == "" || revision < s.wanted || slices.Contains(s.sources, peer) || len(s.sources) >= MaxSources {
+	known := slices.Contains(s.sources, peer) || len(s.sources) >= MaxSources
+	if peer == (Peer{}) || revision < s.wanted || known {
 		return
 	}
 	s.sources = append(s.sources, peer)
 }
 
+// Offering is what to send to a peer that is behind: the changes that it lacks,
+// or the whole snapshot when those are no longer kept.
+type Offering struct {
+	Peer     Peer
+	Snapshot *Snapshot
+	Changes  []Change
+}
+
+// Help gives what to send to a peer whose revision is lower; ok is false if it
+// is not, or if an offer to it is under way. An offer is ended by Helped.
+func (s *Spread) Help(peer Peer, revision contract.Revision) (offering Offering, ok bool) {
+	if revision >= s.current.Revision || s.offering[peer] {
+		return Offering{}, false
+	}
+	s.offering[peer] = true
+	offering = s.Answer(revision)
+	offering.Peer = peer
+	return offering, true
+}
+
+// Helped ends an offer, whatever came of it.
+func (s *Spread) Helped(peer Peer) {
+	delete(s.offering, peer)
+}
+
+// Answer gives what leads from a revision to the one in force; it is empty when
+// the revision is not lower.
+func (s *Spread) Answer(revision contract.Revision) Offering {
+	if revision >= s.current.Revision {
+		return Offering{}
+	}
+	if changes, ok := s.Since(revision); ok {
+		return Offering{Changes: changes}
+	}
+	return Offering{Snapshot: s.current}
+}
+
+// Take puts what a peer or the store sent in force, if it is newer. complete is
+// false when changes are missing in between.
+func (s *Spread) Take(snapshot *Snapshot, changes []Change) (old *Snapshot, changed, complete bool) {
+	if len(changes) > 0 {
+		old, changed, complete = s.OfferChanges(changes)
+		if complete {
+			return old, changed, true
+		}
+	}
+	if snapshot != nil {
+		old, changed = s.Offer(snapshot)
+		return old, changed, true
+	}
+	return s.current, false, len(changes) == 0
+}
+
 // Due gives the fetches to start now. Each must be answered by Fetched.
 func (s *Spread) Due(now time.Time) []Fetch {
 	var due []Fetch
@@ -196,10 +260,10 @@
 }
 
 // source takes the peers in turn and then the store.
-func (s *Spread) source() string {
+func (s *Spread) source() Peer {
 	turn := s.attempts % (len(s.sources) + 1)
 	if turn == len(s.sources) {
-		return ""
+		return Peer{}
 	}
 	return s.sources[turn]
 }
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -24,8 +24,10 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/link/peer/heard"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
 // Lanes of an entry's blocking calls.
@@ -37,6 +39,8 @@
 	lanePoll     pool.Lane = "poll"
 	laneCancel   pool.Lane = "cancel"
 	lanePlatform pool.Lane = "platform"
+	laneSpread   pool.Lane = "spread"
+	laneQuery    pool.Lane = "query"
 )
 
 // Peers opens the calls of other processes.
@@ -50,12 +54,19 @@
 // ConfigSource reads the newest configuration from where it is kept.
 type ConfigSource interface {
 	// Load returns the newest snapshot; it is have if there is no newer one.
-	Load(ctx context.Context, have *config.Snapshot) (*config.Snapshot, error)
+	Load(ctx context.Context, have *config.Snapshot) (config.Loaded, error)
 }
 
 // Options configure an entry.
 type Options struct {
 	Self instance.Identity
+	// Addr is the host:port of the peer listener, told to other entries.
+	Addr string
+	// Zones are the fleet's availability zones, as far as the settings name
+	// them; others are learned.
+	Zones []zone.AvailabilityZone
+	// Trust says when keyed routes may be served.
+	Trust zone.TrustRule
 	// Secret makes the pseudonyms of client accounts; the same in the fleet.
 	Secret []byte
 	// Workers is the size of the worker pool.
@@ -82,6 +93,8 @@
 // peer.Entry.
 type Entry struct {
 	self        instance.Identity
+	addr        string
+	trust       zone.TrustRule
 	secret      []byte
 	maxRequests int64
 	peers       Peers
@@ -98,7 +111,8 @@
 	running  atomic.Int64
 	newQueue func() fair.Queue
 
-	config   *table.Single[*config.Snapshot]
+	config   *table.Single[*config.Spread]
+	members  *table.Single[*members]
 	rates    *table.Single[rate.Policy]
 	queues   *table.Single[map[contract.RouteName]*routeQueue]
 	requests *table.Striped[contract.RequestID, *request]
@@ -123,15 +137,17 @@
 	}
 	e := &Entry{
 		self:        o.Self,
+		addr:        o.Addr,
+		trust:       o.Trust,
 		secret:      o.Secret,
 		maxRequests: int64(o.MaxRequests),
-		peers:       o.Peers,
 		source:      o.Config,
 		instances:   o.Instances,
 		recorder:    o.Recorder,
 		clock:       o.Clock,
 		log:         o.Log,
-		config:      table.NewSingle(table.RankConfig, config.Empty()),
+		config:      table.NewSingle(table.RankConfig, config.NewSpread(ConfigPollEvery)),
+		members:     table.NewSingle(table.RankMembers, newMembers(o)),
 		rates:       table.NewSingle(table.RankRates, o.Rates),
 		newQueue:    o.NewQueue,
 		queues:      table.NewSingle(table.RankQueue, make(map[contract.RouteName]*routeQueue)),
@@ -139,6 +155,7 @@
 		board:       table.NewSingle(table.RankBoard, o.Board),
 		pollers:     table.NewSingle(table.RankOutbox, make(map[string]*poller)),
 	}
+	e.peers = heard.Peers{Dialer: o.Peers, Node: e}
 	e.pool = pool.New(pool.Options{
 		Workers:    o.Workers,
 		QueueLimit: o.MaxRequests,
@@ -154,7 +171,7 @@
 
 // lanes bounds the calls to peers and to the platform.
 func lanes(requests int) map[pool.Lane]int {
-	const polls, platformCalls = 1024, 16
+	const polls, platformCalls, spreadCalls, queryCalls = 1024, 16, 64, 128
 	return map[pool.Lane]int{
 		laneReserve:  maxReserving * 2,
 		lanePrefill:  requests,
@@ -163,6 +180,8 @@
 		lanePoll:     polls,
 		laneCancel:   requests,
 		lanePlatform: platformCalls,
+		laneSpread:   spreadCalls,
+		laneQuery:    queryCalls,
 	}
 }
 
@@ -195,11 +214,13 @@
 
 // header opens a message.
 func (e *Entry) header(h *table.Held) peer.Header {
-	return peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
+	header := peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
+	header.ZonesHeard = e.zonesHeard(h)
+	return header
 }
 
 // snapshot gives the configuration in force.
 func (e *Entry) snapshot(h *table.Held) (now *config.Snapshot) {
-	e.config.With(h, func(s **config.Snapshot) { now = *s })
+	e.config.With(h, func(s **config.Spread) { now = (*s).Current() })
 	return now
 }
--- /dev/null
+++ b/instance/entry/exchange.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Heartbeat implements peer.Entry.
+func (e *Entry) Heartbeat(ctx context.Context, q *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.HeartbeatReply)) []pool.Effect {
+		from := config.Peer{Kind: kindOf(q.Kind), Addr: q.Addr}
+		e.memberHeard(h, from.Kind, from.Addr, &q.Header)
+		e.members.With(h, func(m **members) { (*m).Says(string(q.From.Name), q.Leaving) })
+		e.hear(h, q.Revision, from)
+		answer(&peer.HeartbeatReply{Header: e.header(h)})
+		return e.spreadDue(h)
+	})
+}
+
+// Sync implements peer.Entry.
+func (e *Entry) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
+	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.SyncReply)) []pool.Effect {
+		effects := e.install(h, config.Loaded{Snapshot: q.Offer, Changes: q.Changes})
+		e.memberHeard(h, zone.KindEntry, "", &q.Header)
+		e.hear(h, q.Revision, config.Peer{})
+		reply := &peer.SyncReply{Header: e.header(h)}
+		e.config.With(h, func(s **config.Spread) {
+			out := (*s).Answer(q.Revision)
+			reply.Snapshot = out.Snapshot
+			reply.Changes = out.Changes
+		})
+		answer(reply)
+		return append(effects, e.spreadDue(h)...)
+	})
+}
+
+// hear notes the revision of a message.
+func (e *Entry) hear(h *table.Held, revision contract.Revision, from config.Peer) {
+	now := e.clock.Now()
+	if from.Addr == "" {
+		from = config.Peer{}
+	}
+	e.config.With(h, func(s **config.Spread) { (*s).Hear(now, revision, from) })
+}
+
+// leaving reports whether the entry takes no new requests.
+func (e *Entry) leaving() bool {
+	return e.life.State() >= instance.Draining
+}
--- /dev/null
+++ b/instance/entry/members.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Times and bounds of heartbeats.
+const (
+	// HeartbeatEvery is the time between two heartbeats, a third of the
+	// silence after which a member is suspect.
+	HeartbeatEvery = zone.SuspectAfter / 3
+	// HeartbeatFanout bounds the entries that one heartbeat goes to; larger
+	// fleets are covered in turns.
+	HeartbeatFanout = 6
+	// UntrustedGrace is how long running requests go on after the configuration
+	// is no longer trusted, so that a process that was paused can catch up.
+	UntrustedGrace = time.Second
+)
+
+// members is what the entry knows of other instances.
+type members struct {
+	*zone.Membership
+	// turn says which entries the next heartbeat goes to.
+	turn int
+	// untrustedSince is when trust in the configuration was lost.
+	untrustedSince time.Time
+}
+
+func newMembers(o Options) *members {
+	self := zone.Member{
+		Name:        string(o.Self.Name),
+		Incarnation: int64(o.Self.Incarnation),
+		Place:       o.Self.Place,
+		Kind:        zone.KindEntry,
+		Addr:        o.Addr,
+	}
+	return &members{Membership: zone.NewMembership(self, o.Zones)}
+}
+
+// nextEntries gives the entries whose turn it is, at most count.
+func (m *members) nextEntries(now time.Time, count int) []zone.Member {
+	var entries []zone.Member
+	for _, member := range m.Members(now) {
+		if member.Kind == zone.KindEntry && member.Addr != "" {
+			entries = append(entries, member)
+		}
+	}
+	if len(entries) <= count {
+		return entries
+	}
+	var next []zone.Member
+	for range count {
+		next = append(next, entries[m.turn%len(entries)])
+		m.turn++
+	}
+	return next
+}
+
+// heartbeat tells other entries that this one is alive, and what it has heard.
+func (e *Entry) heartbeat(h *table.Held) []pool.Effect {
+	e.pool.After(HeartbeatEvery, e.heartbeat)
+	return e.sendHeartbeats(h, HeartbeatFanout)
+}
+
+func (e *Entry) sendHeartbeats(h *table.Held, count int) (effects []pool.Effect) {
+	now := e.clock.Now()
+	var next []zone.Member
+	e.members.With(h, func(m **members) { next = (*m).nextEntries(now, count) })
+	for _, member := range next {
+		effects = append(effects, e.heartbeatTo(member.Addr))
+	}
+	return effects
+}
+
+// heartbeatTo sends one heartbeat; what the reply says is taken by Heard.
+func (e *Entry) heartbeatTo(addr string) pool.Effect {
+	return pool.Effect{Lane: laneSpread, Perform: func(ctx context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(ctx, AskTimeout)
+		defer cancel()
+		q := &peer.HeartbeatRequest{Kind: kindEntry, Addr: e.addr, Leaving: e.leaving()}
+		if _, err := e.peers.Entry(addr).Heartbeat(ctx, q); err != nil {
+			e.log.Debug("heartbeat failed", "entry", addr, "error", err)
+		}
+		return nil
+	}}
+}
+
+// Kinds of instances in messages and in the platform's list.
+const (
+	kindEntry   = "entry"
+	kindSidecar = "sidecar"
+)
+
+func kindOf(word string) zone.Kind {
+	if word == kindSidecar {
+		return zone.KindSidecar
+	}
+	return zone.KindEntry
+}
+
+// listings gives the listed entries. Sidecars are known by their upstreams, and
+// there may be thousands of them.
+func listings(listed []platform.Listed) []zone.Listing {
+	var all []zone.Listing
+	for _, l := range listed {
+		if kindOf(l.Kind) == zone.KindEntry {
+			all = append(all, zone.Listing{Name: l.Name, Place: l.Place, Kind: zone.KindEntry, Addr: l.Addr, Leaving: l.Leaving})
+		}
+	}
+	return all
+}
+
+// memberHeard notes a message of another instance. Of a sidecar only its
+// availability zone is of interest here.
+func (e *Entry) memberHeard(h *table.Held, kind zone.Kind, addr string, head *peer.Header) {
+	now := e.clock.Now()
+	from := zone.Member{
+		Name:        string(head.From.Name),
+		Incarnation: int64(head.From.Incarnation),
+		Place:       head.From.Place,
+		Kind:        kind,
+		Addr:        addr,
+	}
+	news := make([]zone.News, 0, len(head.ZonesHeard))
+	for _, n := range head.ZonesHeard {
+		news = append(news, zone.News{Zone: zone.AvailabilityZone(n.Zone), Age: n.Age})
+	}
+	if kind == zone.KindSidecar {
+		news = append(news, zone.News{Zone: from.Place.Zone})
+	}
+	e.members.With(h, func(m **members) {
+		if kind == zone.KindEntry {
+			(*m).Heard(now, from, 0)
+		}
+		(*m).HeardZones(now, news)
+	})
+}
+
+// zonesHeard gives the news of availability zones for a header.
+func (e *Entry) zonesHeard(h *table.Held) (news []peer.ZoneNews) {
+	now := e.clock.Now()
+	e.members.With(h, func(m **members) {
+		for _, n := range (*m).ZonesHeard(now) {
+			news = append(news, peer.ZoneNews{Zone: string(n.Zone), Age: n.Age})
+		}
+	})
+	return news
+}
+
+// trusted reports whether the configuration's keys may be relied on: news is
+// fresh, and no higher revision has been known for long without being fetched.
+func (e *Entry) trusted(h *table.Held) (ok bool) {
+	if e.trust == zone.Always {
+		return true
+	}
+	now := e.clock.Now()
+	behind := false
+	e.config.With(h, func(s **config.Spread) { behind = (*s).BehindFor(now) > zone.TrustFor })
+	e.members.With(h, func(m **members) { ok = !behind && (*m).Trusted(now, e.trust) })
+	return ok
+}
+
+// authenticate finds the client account of a key, if keys may be relied on.
+func (e *Entry) authenticate(h *table.Held, snapshot *config.Snapshot, key string) (contract.Key, *contract.Refusal) {
+	if !e.trusted(h) {
+		return contract.Key{}, contract.RefuseRepeat(contract.CodeNoConfig, RetryWhenBusy, "the entry has no configuration that it may trust")
+	}
+	return snapshot.Authenticate(key)
+}
+
+// checkTrust ends running keyed requests when trust was lost for longer than the
+// grace: one of their keys may have been withdrawn elsewhere.
+func (e *Entry) checkTrust(h *table.Held) []pool.Effect {
+	now := e.clock.Now()
+	trusted := e.trusted(h)
+	lapsed := false
+	e.members.With(h, func(m **members) {
+		switch {
+		case trusted:
+			(*m).untrustedSince = time.Time{}
+		case (*m).untrustedSince.IsZero():
+			(*m).untrustedSince = now
+		default:
+			lapsed = now.Sub((*m).untrustedSince) > UntrustedGrace
+		}
+	})
+	if !lapsed {
+		return nil
+	}
+	return e.cutKeyed(h, func(*request) *contract.Refusal {
+		return contract.Refuse(contract.CodeNoConfig, "the entry has lost touch and may not rely on the key any more")
+	})
+}
--- /dev/null
+++ b/instance/entry/query.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/instance/operator"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// Query implements peer.Entry.
+func (e *Entry) Query(ctx context.Context, q *peer.QueryRequest) (*peer.QueryReply, error) {
+	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.QueryReply)) []pool.Effect {
+		answer(&peer.QueryReply{Header: e.header(h), Answer: e.answerTo(h, q.Question)})
+		return nil
+	})
+}
+
+// answerTo gives this entry's rows.
+func (e *Entry) answerTo(h *table.Held, q operator.Question) operator.Answer {
+	answer := operator.Answer{Instance: operator.InstanceRow{
+		Name:     string(e.self.Name),
+		Kind:     kindEntry,
+		State:    e.life.State().String(),
+		Place:    e.self.Place,
+		Revision: e.snapshot(h).Revision,
+		Started:  time.Unix(0, int64(e.self.Incarnation)),
+		Running:  int(e.running.Load()),
+	}}
+	if q.Requests {
+		answer.Requests = e.requestRows(h)
+	}
+	return answer
+}
+
+// requestRows describes the running requests.
+func (e *Entry) requestRows(h *table.Held) (rows []operator.RequestRow) {
+	now := e.clock.Now()
+	upstreams := e.snapshot(h).Upstreams
+	e.requests.Each(h, func(running map[contract.RequestID]*request) {
+		for _, r := range running {
+			row := operator.RequestRow{
+				ID:      r.ID,
+				Account: r.Account,
+				Route:   r.Route.Name,
+				State:   r.state.String(),
+				Entry:   string(e.self.Name),
+				Attempt: r.attempt,
+				Age:     now.Sub(r.Arrived),
+			}
+			row.Upstream = r.where()
+			row.Zone = upstreams[row.Upstream].Place.Zone
+			rows = append(rows, row)
+		}
+	})
+	return rows
+}
+
+// where gives the upstream that works on the request, or waits for it.
+func (r *request) where() upstream.ID {
+	switch {
+	case r.state == statePrefilling && r.prefill != nil:
+		return r.prefill.ID
+	case r.decode != nil:
+		return r.decode.ID
+	default:
+		return ""
+	}
+}
+
+// Snapshot implements operator.Node.
+func (e *Entry) Snapshot() *config.Snapshot {
+	return e.snapshot(table.NewHeld())
+}
+
+// Offer implements operator.Node.
+func (e *Entry) Offer(loaded config.Loaded) {
+	e.pool.Start(e.install(table.NewHeld(), loaded)...)
+}
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -67,7 +67,7 @@
 	}
 	var key contract.Key
 	if !route.Open {
-		key, refusal = snapshot.Authenticate(in.Key)
+		key, refusal = e.authenticate(h, snapshot, in.Key)
 		if refusal != nil {
 			return nil, refusal
 		}
--- a/instance/entry/timers.go
+++ b/instance/entry/timers.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
-	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
@@ -19,8 +17,8 @@
 const (
 	// TickEvery is the time between two looks at the queues and the rates.
 	TickEvery = 25 * time.Millisecond
-	// RefreshEvery is the time between two reads of the configuration, of the
-	// lagging list, and of the load of watched upstreams.
+	// RefreshEvery is the time between two reads of the lagging list and of the
+	// load of watched upstreams.
 	RefreshEvery = time.Second
 )
 
@@ -28,12 +26,14 @@
 func (e *Entry) startTimers() {
 	e.pool.Resume(e.tick)
 	e.pool.Resume(e.refresh)
+	e.pool.Resume(e.heartbeat)
+	e.pool.Resume(e.greetSidecars)
 }
 
 // tick looks at what time changes.
 func (e *Entry) tick(h *table.Held) []pool.Effect {
 	e.pool.After(TickEvery, e.tick)
-	effects := e.sweepQueues(h)
+	effects := append(e.sweepQueues(h), e.spreadDue(h)...)
 	return append(effects, e.tickRates(h)...)
 }
 
@@ -69,69 +69,13 @@
 // refresh reads what others publish.
 func (e *Entry) refresh(h *table.Held) []pool.Effect {
 	e.pool.After(RefreshEvery, e.refresh)
-	effects := []pool.Effect{e.loadConfig(h)}
+	var effects []pool.Effect
 	if e.instances != nil {
 		effects = append(effects, e.readInstances())
 	}
 	return append(effects, e.watch(h)...)
 }
 
-// loadConfig reads the configuration's newest revision.
-func (e *Entry) loadConfig(h *table.Held) pool.Effect {
-	have := e.snapshot(h)
-	return pool.Effect{Lane: lanePlatform, Perform: func(ctx context.Context) pool.Step {
-		ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-		defer cancel()
-		next, err := e.source.Load(ctx, have)
-		if err != nil {
-			e.log.Warn("configuration not read", "error", err)
-			return nil
-		}
-		return func(h *table.Held) []pool.Effect { return e.install(h, next) }
-	}}
-}
-
-// install puts a configuration in force if it is newer. Requests whose key was
-// withdrawn end.
-func (e *Entry) install(h *table.Held, next *config.Snapshot) (effects []pool.Effect) {
-	newer := false
-	e.config.With(h, func(s **config.Snapshot) {
-		newer = next.Revision > (*s).Revision
-		if newer {
-			*s = next
-		}
-	})
-	if !newer {
-		return nil
-	}
-	now := e.clock.Now()
-	e.rates.With(h, func(p *rate.Policy) { (*p).SetContracts(now, next.Revision, next.Accounts) })
-	e.board.With(h, func(b **placement.Board) { (*b).SetUpstreams(now, next.Upstreams) })
-	e.log.Info("configuration in force", "revision", next.Revision)
-	e.life.Advance(instance.Serving)
-	return e.cutWithdrawn(h, next)
-}
-
-// cutWithdrawn ends the requests whose key no longer works.
-func (e *Entry) cutWithdrawn(h *table.Held, next *config.Snapshot) (effects []pool.Effect) {
-	cut := make(map[contract.RequestID]*contract.Refusal)
-	e.requests.Each(h, func(rows map[contract.RequestID]*request) {
-		for id, r := range rows {
-			if r.state == stateEnded || r.Route.Open {
-				continue
-			}
-			if _, refusal := next.CheckKey(r.Key); refusal != nil {
-				refusal.Ran = r.cutShort(nil).Ran
-				cut[id] = refusal
-			}
-		}
-	})
-	for id, refusal := range cut {
-		effects = append(effects, e.finish(h, id, refusal)...)
-	}
-	return effects
-}
-
 // readInstances reads the lagging list of instances.
 func (e *Entry) readInstances() pool.Effect {
 	return pool.Effect{Lane: lanePlatform, Perform: func(ctx context.Context) pool.Step {
@@ -155,6 +99,7 @@
 			leaving = append(leaving, upstream.ID(l.Name))
 		}
 	}
+	e.members.With(h, func(m **members) { (*m).Listed(now, listings(listed)) })
 	e.board.With(h, func(b **placement.Board) { (*b).SetLeaving(now, leaving) })
 	return nil
 }
--- /dev/null
+++ b/instance/sidecar/configuration.go
@@ -0,0 +1,55 @@
+package sidecar
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Sync implements peer.Sidecar. A sidecar calls nobody: entries that find it
+// behind hand it the configuration, and those that are behind it ask for it.
+func (s *Sidecar) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.SyncReply)) []pool.Effect {
+		s.install(h, q)
+		reply := &peer.SyncReply{Header: s.header()}
+		s.config.With(h, func(spread **config.Spread) {
+			out := (*spread).Answer(q.Revision)
+			reply.Snapshot = out.Snapshot
+			reply.Changes = out.Changes
+		})
+		answer(reply)
+		return nil
+	})
+}
+
+// install puts a configuration in force if it is newer. An upstream that it
+// drains or retires takes no new work from then on.
+func (s *Sidecar) install(h *table.Held, q *peer.SyncRequest) {
+	var old, next *config.Snapshot
+	changed := false
+	s.config.With(h, func(spread **config.Spread) {
+		old, changed, _ = (*spread).Take(q.Offer, q.Changes)
+		next = (*spread).Current()
+		s.revision.Store(uint64(next.Revision))
+	})
+	if !changed {
+		return
+	}
+	s.log.Info("configuration in force", "revision", next.Revision)
+	if leaving := s.leavingBy(next); leaving != s.leavingBy(old) {
+		s.ledger.With(h, func(l **engine.Ledger) { (*l).SetLeaving(leaving) })
+	}
+}
+
+// leavingBy reports whether the upstream is to take no new work, by the
+// configuration or because this process is shutting down. An upstream that the
+// configuration does not know yet may take work.
+func (s *Sidecar) leavingBy(snapshot *config.Snapshot) bool {
+	u, known := snapshot.Upstreams[s.id]
+	return s.draining() || (known && u.State != upstream.StateServing)
+}
--- /dev/null
+++ b/instance/sidecar/query.go
@@ -0,0 +1,45 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/operator"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// Query implements peer.Sidecar.
+func (s *Sidecar) Query(ctx context.Context, q *peer.QueryRequest) (*peer.QueryReply, error) {
+	return ask(ctx, s, func(h *table.Held, answer func(*peer.QueryReply)) []pool.Effect {
+		reply := &peer.QueryReply{Header: s.header()}
+		reply.Answer.Instance = s.describe(h)
+		if q.Question.Loads {
+			reply.Answer.Loads = []upstream.Load{s.load(h)}
+		}
+		answer(reply)
+		return nil
+	})
+}
+
+// describe gives the operators' row of this process.
+func (s *Sidecar) describe(h *table.Held) operator.InstanceRow {
+	return operator.InstanceRow{
+		Name:     string(s.self.Name),
+		Kind:     "sidecar",
+		State:    s.life.State().String(),
+		Place:    s.self.Place,
+		Revision: contract.Revision(s.revision.Load()),
+		Started:  time.Unix(0, int64(s.self.Incarnation)),
+		Running:  s.calls.Len(h),
+	}
+}
+
+// draining reports whether the process takes no new work.
+func (s *Sidecar) draining() bool {
+	return s.life.State() >= instance.Draining
+}
--- a/instance/sidecar/reserve.go
+++ b/instance/sidecar/reserve.go
@@ -70,8 +70,3 @@
 		Refusal: contract.Refuse(contract.CodeNoUpstream, "orders are not taken here"),
 	}, nil
 }
-
-// Sync implements peer.Sidecar.
-func (s *Sidecar) Sync(context.Context, *peer.SyncRequest) (*peer.SyncReply, error) {
-	return &peer.SyncReply{Header: s.header()}, nil
-}
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -67,6 +69,10 @@
 	engine  link.Engine
 	service link.Service
 
+	config *table.Single[*config.Spread]
+	// revision repeats the one in force, so that headers need no lock.
+	revision atomic.Uint64
+
 	ledger *table.Single[*engine.Ledger]
 	calls  *table.Striped[contract.RequestID, *running]
 	output *table.Striped[instance.Name, *outbox]
@@ -87,6 +93,7 @@
 		log:     o.Log,
 		engine:  o.Engine,
 		service: o.Service,
+		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		ledger:  table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
 		calls:   table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
 		output:  table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
@@ -127,7 +134,7 @@
 
 // header opens a reply.
 func (s *Sidecar) header() peer.Header {
-	return peer.Header{From: s.self}
+	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load())}
 }
 
 // load reads what the upstream can take.
--- a/link/peer/entry.go
+++ b/link/peer/entry.go
@@ -8,6 +8,8 @@
 	Heartbeat(ctx context.Context, q *HeartbeatRequest) (*HeartbeatReply, error)
 	// Sync hands over a newer configuration, in either direction.
 	Sync(ctx context.Context, q *SyncRequest) (*SyncReply, error)
+	// Query answers an operator's question about this process.
+	Query(ctx context.Context, q *QueryRequest) (*QueryReply, error)
 }
 
 // HeartbeatRequest carries the sender's header and where it is reached.
--- a/link/peer/header.go
+++ b/link/peer/header.go
@@ -25,6 +25,17 @@
 	ZonesHeard []ZoneNews
 }
 
+// Head gives the header of the message that it opens.
+func (h *Header) Head() *Header {
+	return h
+}
+
+// Message is any message or reply.
+type Message interface {
+	// Head gives the message's header.
+	Head() *Header
+}
+
 // QuarantineNote says that a fingerprint must not run for some time.
 type QuarantineNote struct {
 	Fingerprint contract.Fingerprint
--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 )
 
@@ -42,6 +43,7 @@
 
 // NewDials returns an empty set of connections.
 func NewDials(dial Dialer) *Dials {
+	configcodec.Register()
 	return &Dials{dial: dial, conns: make(map[string]*conn)}
 }
 
--- a/link/peer/rpc/entry.go
+++ b/link/peer/rpc/entry.go
@@ -26,3 +26,8 @@
 func (e *Entry) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
 	return call[peer.SyncRequest, peer.SyncReply](ctx, e.dials, e.addr, "Entry.Sync", q)
 }
+
+// Query implements peer.Entry.
+func (e *Entry) Query(ctx context.Context, q *peer.QueryRequest) (*peer.QueryReply, error) {
+	return call[peer.QueryRequest, peer.QueryReply](ctx, e.dials, e.addr, "Entry.Query", q)
+}
--- a/link/peer/rpc/server.go
+++ b/link/peer/rpc/server.go
@@ -7,6 +7,7 @@
 	"net/rpc"
 	"sync"
 
+	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 )
 
@@ -24,6 +25,7 @@
 // NewServer returns a server that answers for the parts given; nil ones are
 // left out.
 func NewServer(entry peer.Entry, sidecar peer.Sidecar) (*Server, error) {
+	configcodec.Register()
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{server: rpc.NewServer(), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool)}
 	if entry != nil {
@@ -112,6 +114,11 @@
 	return answer(m.ctx, m.entry.Sync, q, r)
 }
 
+// Query answers an operator's question.
+func (m *entryMethods) Query(q *peer.QueryRequest, r *peer.QueryReply) error {
+	return answer(m.ctx, m.entry.Query, q, r)
+}
+
 // sidecarMethods are the calls in the form that net/rpc asks for.
 type sidecarMethods struct {
 	ctx     context.Context
@@ -157,3 +164,8 @@
 func (m *sidecarMethods) Sync(q *peer.SyncRequest, r *peer.SyncReply) error {
 	return answer(m.ctx, m.sidecar.Sync, q, r)
 }
+
+// Query answers an operator's question.
+func (m *sidecarMethods) Query(q *peer.QueryRequest, r *peer.QueryReply) error {
+	return answer(m.ctx, m.sidecar.Query, q, r)
+}
--- a/link/peer/rpc/sidecar.go
+++ b/link/peer/rpc/sidecar.go
@@ -65,3 +65,8 @@
 func (s *Sidecar) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
 	return call[peer.SyncRequest, peer.SyncReply](ctx, s.dials, s.addr, "Sidecar.Sync", q)
 }
+
+// Query implements peer.Sidecar.
+func (s *Sidecar) Query(ctx context.Context, q *peer.QueryRequest) (*peer.QueryReply, error) {
+	return call[peer.QueryRequest, peer.QueryReply](ctx, s.dials, s.addr, "Sidecar.Query", q)
+}
--- a/link/peer/sidecar.go
+++ b/link/peer/sidecar.go
@@ -28,6 +28,8 @@
 	Order(ctx context.Context, q *OrderRequest) (*OrderReply, error)
 	// Sync hands over a newer configuration, in either direction.
 	Sync(ctx context.Context, q *SyncRequest) (*SyncReply, error)
+	// Query answers an operator's question about this process.
+	Query(ctx context.Context, q *QueryRequest) (*QueryReply, error)
 }
 
 // ReserveRequest asks for a slot, blocks and a window on the import link.
