--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
-	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/instance"
@@ -40,17 +39,6 @@
 	kill     sync.Once
 }
 
-// source reads the configuration from the store.
-type source struct {
-	store *configstore.Store
-}
-
-// Load implements entry.ConfigSource.
-func (s source) Load(ctx context.Context, have *config.Snapshot) (*config.Snapshot, error) {
-	loaded, err := s.store.Load(ctx, have)
-	return loaded.Snapshot, err
-}
-
 // startEntry starts the i-th entry in a zone.
 func (f *Fleet) startEntry(i int, z zone.AvailabilityZone) error {
 	place := zone.Place{Region: f.Workload.Region, Zone: z}
@@ -62,7 +50,7 @@
 		return err
 	}
 	options.Peers = dials
-	options.Config = source{configstore.New(client.Table(), client.Objects())}
+	options.Config = configstore.New(client.Table(), client.Objects())
 	options.Instances = client.Instances()
 	n := &EntryNode{Place: place, entry: entry.New(options), dials: dials, platform: client}
 	f.Entries = append(f.Entries, n)
--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 )
 
@@ -18,6 +19,9 @@
 	Peer     Listener `toml:"peer"`
 	Operator Listener `toml:"operator"`
 	Platform Platform `toml:"platform"`
+	// PseudonymSecret makes the names by which upstreams know client accounts;
+	// the same at all entries, 16 characters or more, required.
+	PseudonymSecret string `toml:"pseudonym_secret"`
 	// Peers are the peer listeners of some other entries, to start from;
 	// default none.
 	Peers []string `toml:"peers"`
@@ -65,7 +69,7 @@
 
 // Rates says how an account's rate is kept across the entries.
 type Rates struct {
-	// Policy is "escrow" or "split"; default "escrow".
+	// Policy is "escrow", "fixed-split" or "single-owner"; default "escrow".
 	Policy string `toml:"policy"`
 	// Promise is the lease of a promise between two entries; default 2s.
 	Promise Duration `toml:"promise"`
@@ -73,12 +77,6 @@
 	Heartbeat Duration `toml:"heartbeat"`
 }
 
-// Policies of rates.
-const (
-	RatesEscrow = "escrow"
-	RatesSplit  = "split"
-)
-
 // Placement says how upstreams are chosen.
 type Placement struct {
 	// Policy is "reserve", "least-loaded" or "random-of-two"; default
@@ -121,7 +119,7 @@
 		Platform:  defaultPlatform(),
 		Workers:   defaultWorkers,
 		Limits:    defaultCallerLimits(),
-		Rates:     Rates{Policy: RatesEscrow, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
+		Rates:     Rates{Policy: rate.DefaultPolicy, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
 		Placement: Placement{Policy: PlacementReserve, Watch: 16},
 		Trust:     Trust{Rule: "zones", Within: of(5 * time.Second)},
 		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
@@ -129,6 +127,9 @@
 	}
 }
 
+// leastSecret is the least length of PseudonymSecret.
+const leastSecret = 16
+
 // defaultRunning is the default of CallerLimits.Running.
 const defaultRunning = 2048
 
@@ -172,6 +173,9 @@
 	s.Peer.checkPeer(c, "peer")
 	s.Operator.check(c, "operator")
 	s.Platform.check(c)
+	if len(s.PseudonymSecret) < leastSecret {
+		c.add("pseudonym_secret", "must have at least %d characters", leastSecret)
+	}
 	c.addrs("peers", s.Peers)
 	between(c, "workers", s.Workers, 1, mostWorkers)
 	s.Limits.check(c)
@@ -202,7 +206,7 @@
 }
 
 func (r *Rates) check(c *checker) {
-	c.oneOf("rates.policy", r.Policy, RatesEscrow, RatesSplit)
+	c.oneOf("rates.policy", r.Policy, rate.PolicyEscrow, rate.PolicyFixedSplit, rate.PolicySingleOwner)
 	c.duration("rates.promise", r.Promise, 100*time.Millisecond, time.Minute)
 	c.duration("rates.heartbeat", r.Heartbeat, 10*time.Millisecond, time.Minute)
 	if 2*r.Heartbeat.Duration > r.Promise.Duration {
--- a/link/settings/settings_test.go
+++ b/link/settings/settings_test.go
@@ -16,6 +16,7 @@
 zone = "rajkot-a"
 zones = ["rajkot-a", "morbi"]
 peers = ["127.0.0.1:7102"]
+pseudonym_secret = "0123456789abcdef"
 [caller]
 listen = "127.0.0.1:8080"
 plain_text = true
@@ -75,6 +76,7 @@
 		{"entry_syntax", `region = "saurashtra"`, `region = saurashtra`},
 		{"entry_wrong_type", `region = "saurashtra"`, `region = 5`},
 		{"entry_promise_short", "[limits]", "[rates]\npromise = \"400ms\"\n[limits]"},
+		{"entry_secret_short", `"0123456789abcdef"`, `"0123"`},
 		{"entry_many", goodEntry, "workers = 0\n[platform]\nurl = \"ftp://x\"\n[trust]\nrule = \"none\"\n[peer]\nlisten=\"x\"\ntls_cert=\"c\"\ntls_key=\"k\"\n"},
 		{"sidecar_good", "", ""},
 		{"sidecar_role_of_service", `"engine"`, `"service"`},
