Rates: escrow under promises counted to a majority, and a single owner

Each member of an agreed layout holds a share of each account and spends it while it has unexpired promises from most of the grantors. Layouts are written to the platform's table by compare-and-set; an entry that leaves an epoch gives no promise for it, so once most grantors left it a lease ago, whoever stayed behind can't spend and its share passes on. Short cuts and pauses drop no tokens, since nothing passes on without a new layout.

Ruled out: parts by pair of entries, each with its own promise. When one entry of a pair is lost the other gains its part but loses its own, which the lost one guarded, so the lost entry's rate is gone until the table says otherwise.

The property test runs 100 storms of faults at three times the rate; a second test shows it fails when the lease is ten times as long as the grantors wait.

--- /dev/null
+++ b/contract/rate/bound_test.go
@@ -0,0 +1,144 @@
+package rate_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/internal/ratesim"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// tolerance allows for rounding, in tokens.
+const tolerance = 0.01
+
+const runFor = 40 * time.Second
+
+// storm draws a fleet, three times the rate, and faults of all kinds.
+func storm(t *rapid.T, policy string, options rate.Options) *ratesim.Fleet {
+	n := rapid.IntRange(1, 5).Draw(t, "entries")
+	account := contract.ClientAccount{ID: "a", Rate: contract.Rate{PerSecond: 1000, Burst: 2000}}
+	f, err := ratesim.New(ratesim.Options{
+		Policy: policy, Entries: n, Zones: 3, Rate: options,
+		Seed:     rapid.Uint64().Draw(t, "seed"),
+		Loss:     rapid.SampledFrom([]float64{0, 0.01, 0.2}).Draw(t, "loss"),
+		Repeat:   rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat"),
+		Late:     rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "late"),
+		LateBy:   4 * time.Second,
+		Drift:    0.002,
+		Accounts: []contract.ClientAccount{account},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls(t, f, n)
+	for i := range rapid.IntRange(0, 12).Draw(t, "faults") {
+		fault(t, f, fmt.Sprint("fault ", i))
+	}
+	f.Run(runFor)
+	return f
+}
+
+// calls asks for three times the rate, in calm and stormy seconds.
+func calls(t *rapid.T, f *ratesim.Fleet, n int) {
+	favourite := rapid.IntRange(0, n-1).Draw(t, "favourite")
+	use := rapid.SampledFrom([]float64{1, 0.4}).Draw(t, "use")
+	for s := 2; s < int(runFor/time.Second); s++ {
+		if s%8 < 3 {
+			continue
+		}
+		for i := range 30 {
+			at := time.Duration(s)*time.Second + time.Duration(i)*33*time.Millisecond
+			e := f.Entries[favourite]
+			if i%3 == 0 {
+				e = f.Entries[i%n]
+			}
+			cost := contract.Tokens(100)
+			if i == 7 {
+				cost = 1500
+			}
+			f.At(at, func() { f.Request(e, "a", cost, 300*time.Millisecond, use) })
+		}
+	}
+}
+
+func fault(t *rapid.T, f *ratesim.Fleet, name string) {
+	ms := func(what string, to int) time.Duration {
+		return time.Duration(rapid.IntRange(0, to).Draw(t, name+what)) * time.Millisecond
+	}
+	at, lasts := ms(" at", 35_000), ms(" lasts", 9000)
+	e := f.Entries[rapid.IntRange(0, len(f.Entries)-1).Draw(t, name+" of")]
+	other := f.Entries[rapid.IntRange(0, len(f.Entries)-1).Draw(t, name+" with")]
+	switch rapid.SampledFrom([]string{"pause", "crash", "cut", "alone", "store", "off store"}).Draw(t, name) {
+	case "pause":
+		f.At(at, func() { f.Pause(e, lasts) })
+	case "crash":
+		f.At(at, func() { f.Crash(e) })
+		f.At(at+lasts, func() {
+			if !e.Up {
+				_ = f.Start(e)
+			}
+		})
+	case "cut":
+		f.At(at, func() { f.Cut(e, other, true) })
+		f.At(at+lasts, func() { f.Cut(e, other, false) })
+	case "alone":
+		for _, o := range f.Entries {
+			f.At(at, func() { f.Cut(e, o, true) })
+			f.At(at+lasts, func() { f.Cut(e, o, false) })
+		}
+	case "store":
+		f.At(at, func() { f.StoreDown = true })
+		f.At(at+lasts, func() { f.StoreDown = false })
+	case "off store":
+		f.At(at, func() { f.CutStore(e, true) })
+		f.At(at+lasts, func() { f.CutStore(e, false) })
+	}
+}
+
+func TestBoundHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := storm(t, rate.PolicyEscrow, rate.Options{})
+		if got := f.Tally("a"); got.Over > tolerance {
+			t.Fatalf("%.2f tokens over the bound: %+v", got.Over, got)
+		}
+	})
+}
+
+// TestBoundNeedsPromises cuts one entry off while callers still reach it: with
+// the lease that the grantors wait for the bound holds, with a longer one not.
+func TestBoundNeedsPromises(t *testing.T) {
+	for lease, broken := range map[time.Duration]bool{rate.Lease: false, 8 * time.Second: true} {
+		account := contract.ClientAccount{ID: "a", Rate: contract.Rate{PerSecond: 1000, Burst: 2000}}
+		f, err := ratesim.New(ratesim.Options{
+			Policy: rate.PolicyEscrow, Entries: 3, Zones: 3, Seed: 1,
+			Rate: rate.Options{Lease: lease}, Accounts: []contract.ClientAccount{account},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Run(10 * time.Second)
+		for _, other := range f.Entries[1:] {
+			f.Cut(f.Entries[0], other, true)
+		}
+		f.CutStore(f.Entries[0], true)
+		for i := range 800 {
+			f.At(12*time.Second+time.Duration(i)*10*time.Millisecond, func() { f.Request(f.Entries[i%3], "a", 30, 0, 1) })
+		}
+		f.Run(25 * time.Second)
+		if got := f.Tally("a"); (got.Over > tolerance) != broken {
+			t.Errorf("lease %v: %.2f tokens over the bound, want broken %v: %+v", lease, got.Over, broken, got)
+		}
+	}
+}
--- a/contract/rate/policy.go
+++ b/contract/rate/policy.go
@@ -98,6 +98,23 @@
 	// the members believed alive, which keeps the bound only while all entries
 	// agree on them.
 	Entries int
+	// LostFor replaces DefaultLostFor; negative means never.
+	LostFor time.Duration
+	// Lease replaces Lease at the receiver of promises; 0 in production. Tests
+	// lengthen it to see the bound broken.
+	Lease time.Duration
+}
+
+// Planner is a policy that needs a layout agreed through the platform's table.
+type Planner interface {
+	Policy
+	// Layout is the layout in force here; epoch 0 means none yet.
+	Layout() *Layout
+	// SetLayout takes a layout read from the table, or written to it.
+	SetLayout(now time.Time, layout *Layout)
+	// Propose gives the layout to write, on condition that the table still has
+	// the layout in force here; ok is false if there is no need.
+	Propose(now time.Time) (next *Layout, ok bool)
 }
 
 // ErrUnknownPolicy means that the settings name a policy that does not exist.
@@ -106,6 +123,10 @@
 // New returns the policy of the given name.
 func New(name string, self instance.Identity, opts Options) (Policy, error) {
 	switch name {
+	case PolicyEscrow:
+		return NewEscrow(self, opts), nil
+	case PolicySingleOwner:
+		return NewSingleOwner(self), nil
 	case PolicyFixedSplit:
 		return NewFixedSplit(self, opts), nil
 	default:
--- /dev/null
+++ b/internal/ratesim/meter.go
@@ -0,0 +1,222 @@
+package ratesim
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+)
+
+// Meter compares what callers got with one bucket that sees all grants, and
+// with one entry that gets all requests and never fails.
+type Meter struct {
+	fleet    *Fleet
+	accounts map[contract.AccountID]*Tally
+	waiting  map[contract.RequestID]call
+	ideal    *rate.FixedSplit
+	idealFor map[contract.RequestID]call
+	seq      int
+	// Admitted counts all requests asked for; Spent is the real time that the
+	// policies took over them.
+	Admitted int
+	Spent    time.Duration
+}
+
+type call struct {
+	account contract.AccountID
+	cost    contract.Tokens
+	entry   *Entry
+	run     instance.Incarnation
+	use     float64
+}
+
+// Tally is what one account got.
+type Tally struct {
+	limit contract.Rate
+	// level is what one bucket for the whole fleet would hold.
+	level float64
+	// upper is the same for the bound: what a request did not use may come into
+	// the bucket a little later, when there is room.
+	upper float64
+	owed  []owed
+	at    time.Duration
+	// Over is the most that was granted beyond the bound, in tokens.
+	Over float64
+	// Asked, Granted, Refused and Wrongful count requests; Lost ones were at an
+	// entry that crashed.
+	Asked, Granted, Refused, Wrongful, Lost int
+	// Served and Due are tokens granted here and by the ideal entry.
+	Served, Due contract.Tokens
+}
+
+// owed is what a request did not use.
+type owed struct {
+	amount float64
+	until  time.Duration
+}
+
+// owedFor is a second and the time that messages take.
+const owedFor = 1200 * time.Millisecond
+
+func newMeter(f *Fleet, accounts []contract.ClientAccount) *Meter {
+	m := &Meter{
+		fleet:    f,
+		accounts: make(map[contract.AccountID]*Tally),
+		waiting:  make(map[contract.RequestID]call),
+		ideal:    rate.NewFixedSplit(instance.Identity{}, rate.Options{Entries: 1}),
+		idealFor: make(map[contract.RequestID]call),
+	}
+	limits := make(map[contract.AccountID]contract.ClientAccount)
+	for _, a := range accounts {
+		limits[a.ID] = a
+		m.accounts[a.ID] = &Tally{limit: a.Rate, level: float64(a.Rate.Burst), upper: float64(a.Rate.Burst)}
+	}
+	m.ideal.SetContracts(epoch, 1, limits)
+	var tick func()
+	tick = func() {
+		for _, d := range m.ideal.Tick(m.clock()).Decided {
+			m.idealDecided(d.Ticket, d.Granted)
+		}
+		f.At(f.Now+rate.TickEvery, tick)
+	}
+	f.At(0, tick)
+	return m
+}
+
+func (m *Meter) clock() time.Time {
+	return epoch.Add(m.fleet.Now)
+}
+
+// Request sends one request to an entry; use is the share of its charge that it
+// will use.
+func (f *Fleet) Request(e *Entry, account contract.AccountID, cost contract.Tokens, patience time.Duration, use float64) {
+	m := f.meter
+	m.seq++
+	id := contract.RequestID(fmt.Sprint("r", m.seq))
+	c := call{account: account, cost: cost, entry: e, run: e.Identity.Incarnation, use: use}
+	m.idealAdmit(id, c, patience)
+	m.accounts[account].Asked++
+	m.Admitted++
+	f.admit(id, c, patience)
+}
+
+// admit reaches the entry, late if it is paused.
+func (f *Fleet) admit(id contract.RequestID, c call, patience time.Duration) {
+	m := f.meter
+	if !c.entry.Up {
+		m.accounts[c.account].Lost++
+		return
+	}
+	if f.Now < c.entry.paused {
+		f.At(c.entry.paused, func() { f.admit(id, c, patience) })
+		return
+	}
+	now := f.clock(c.entry)
+	began := time.Now()
+	v := c.entry.Policy.Admit(now, id, c.account, c.cost, patience)
+	m.Spent += time.Since(began)
+	m.waiting[id] = c
+	if v.State != rate.Waiting {
+		m.decided(c.entry, rate.Decided{Ticket: id, Granted: v.State == rate.Granted})
+	}
+	f.send(c.entry, v.Out)
+}
+
+func (m *Meter) decided(e *Entry, d rate.Decided) {
+	c, ok := m.waiting[d.Ticket]
+	if !ok || c.entry != e {
+		return
+	}
+	delete(m.waiting, d.Ticket)
+	t := m.accounts[c.account]
+	t.advance(m.fleet.Now)
+	if !d.Granted {
+		t.Refused++
+		if t.level >= float64(c.cost) {
+			t.Wrongful++
+		}
+		return
+	}
+	t.Granted++
+	t.Served += c.cost
+	t.level -= float64(c.cost)
+	t.upper -= float64(c.cost)
+	t.credit(m.fleet.Now)
+	t.Over = math.Max(t.Over, -t.upper)
+	m.settle(c, t)
+}
+
+// settle gives back what the request does not use, a second later.
+func (m *Meter) settle(c call, t *Tally) {
+	used := contract.Tokens(float64(c.cost) * c.use)
+	if used == c.cost {
+		return
+	}
+	f := m.fleet
+	f.At(f.Now+time.Second, func() {
+		if !c.entry.Up || c.entry.Identity.Incarnation != c.run {
+			return
+		}
+		t.advance(f.Now)
+		t.level = math.Min(t.level+float64(c.cost-used), float64(t.limit.Burst))
+		t.owed = append(t.owed, owed{amount: float64(c.cost - used), until: f.Now + owedFor})
+		t.credit(f.Now)
+		c.entry.Policy.Settle(f.clock(c.entry), c.account, c.cost, used)
+	})
+}
+
+// dropped forgets the tickets of an entry that crashed.
+func (m *Meter) dropped(e *Entry) {
+	for id, c := range m.waiting {
+		if c.entry == e {
+			delete(m.waiting, id)
+			m.accounts[c.account].Lost++
+		}
+	}
+}
+
+func (t *Tally) advance(now time.Duration) {
+	accrued := (now - t.at).Seconds() * float64(t.limit.PerSecond)
+	t.level = math.Min(t.level+accrued, float64(t.limit.Burst))
+	t.upper = math.Min(t.upper+accrued, float64(t.limit.Burst))
+	t.at = now
+	t.credit(now)
+}
+
+// credit moves what is owed into the bucket for the bound.
+func (t *Tally) credit(now time.Duration) {
+	t.owed = slices.DeleteFunc(t.owed, func(o owed) bool { return o.until < now })
+	for i := range t.owed {
+		part := math.Min(t.owed[i].amount, float64(t.limit.Burst)-t.upper)
+		t.upper += part
+		t.owed[i].amount -= part
+	}
+}
+
+func (m *Meter) idealAdmit(id contract.RequestID, c call, patience time.Duration) {
+	m.idealFor[id] = c
+	v := m.ideal.Admit(m.clock(), id, c.account, c.cost, patience)
+	if v.State != rate.Waiting {
+		m.idealDecided(id, v.State == rate.Granted)
+	}
+}
+
+func (m *Meter) idealDecided(id contract.RequestID, granted bool) {
+	c := m.idealFor[id]
+	delete(m.idealFor, id)
+	if !granted {
+		return
+	}
+	m.accounts[c.account].Due += c.cost
+	used := contract.Tokens(float64(c.cost) * c.use)
+	m.fleet.At(m.fleet.Now+time.Second, func() { m.ideal.Settle(m.clock(), c.account, c.cost, used) })
+}
+
+// Tally gives what an account got.
+func (f *Fleet) Tally(account contract.AccountID) Tally {
+	return *f.meter.accounts[account]
+}
