--- /dev/null
+++ b/internal/layers/layers_test.go
@@ -0,0 +1,106 @@
+package layers
+
+import (
+	"fmt"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+)
+
+const (
+	module = "github.com/trefoilwalk/trefoilwalk"
+	root   = "../.."
+	// mostLines is the length above which a file should be split.
+	mostLines = 400
+)
+
+// goFiles calls f with each Go file that is no test.
+func goFiles(t *testing.T, f func(path string)) {
+	t.Helper()
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			f(path)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestImports(t *testing.T) {
+	read := 0
+	goFiles(t, func(path string) {
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read++
+		folder, _ := filepath.Rel(root, filepath.Dir(path))
+		for _, rule := range Rules {
+			if folder != rule.Folder && !strings.HasPrefix(folder, rule.Folder+"/") {
+				continue
+			}
+			for _, imported := range file.Imports {
+				name, _ := strconv.Unquote(imported.Path.Value)
+				if rule.Breaks(name, module) {
+					t.Errorf("%s imports %s: %s", path, name, rule.Why)
+				}
+			}
+		}
+	})
+	if read < 50 {
+		t.Errorf("only %d files were read", read)
+	}
+}
+
+func TestRuleBreaks(t *testing.T) {
+	rule := Rule{Forbidden: []string{"encoding", "./link"}, Exact: []string{"net"}}
+	for path, want := range map[string]bool{
+		"encoding/json":         true,
+		"encodings":             false,
+		module + "/link/peer":   true,
+		module + "/linker":      false,
+		module + "/contract":    false,
+		"github.com/x/encoding": false,
+	} {
+		if got := rule.Breaks(path, module); got != want {
+			t.Errorf("%s: %v, want %v", path, got, want)
+		}
+	}
+}
+
+func TestFileLengths(t *testing.T) {
+	goFiles(t, func(path string) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := strings.Count(string(text), "\n"); n > mostLines {
+			t.Errorf("%s has %d lines", path, n)
+		}
+	})
+}
+
+// TestRanksOnDesignPage keeps the table of lock ranks on the design page.
+func TestRanksOnDesignPage(t *testing.T) {
+	text, err := os.ReadFile(root + "/docs/DESIGN.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for rank := table.RankConfig; rank <= table.RankStats; rank++ {
+		if row := fmt.Sprintf("| %d | %s |", rank, rank); !strings.Contains(string(text), row) {
+			t.Errorf("docs/DESIGN.md has no row %q", row)
+		}
+	}
+}
--- a/upstream/prefix.go
+++ b/upstream/prefix.go
@@ -1,8 +1,6 @@
 package upstream
 
 import (
-	"encoding/binary"
-
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -14,14 +12,11 @@
 func PrefixHashes(model contract.ModelName, prompt string) []uint64 {
 	const blockBytes = int(BlockTokens) * contract.BytesPerToken
 	hashes := make([]uint64, 0, len(prompt)/blockBytes)
-	last := xxhash.Sum64String(string(model))
+	digest := xxhash.New()
+	_, _ = digest.WriteString(string(model))
 	for start := 0; start+blockBytes <= len(prompt); start += blockBytes {
-		seed := binary.LittleEndian.AppendUint64(nil, last)
-		digest := xxhash.New()
-		_, _ = digest.Write(seed)
 		_, _ = digest.WriteString(prompt[start : start+blockBytes])
-		last = digest.Sum64()
-		hashes = append(hashes, last)
+		hashes = append(hashes, digest.Sum64())
 	}
 	return hashes
 }
