--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -138,7 +138,7 @@
 		news = append(news, zone.News{Zone: from.Place.Zone})
 	}
 	e.members.With(h, func(m **members) {
-		if kind == zone.KindEntry {
+		if kind == zone.KindEntry && from.Name != "" {
 			(*m).Heard(now, from, 0)
 		}
 		(*m).HeardZones(now, news)
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -74,7 +74,7 @@
 	revision atomic.Uint64
 
 	ledger *table.Single[*engine.Ledger]
-	calls  *table.Striped[contract.RequestID, *running]
+	calls  *table.Striped[callKey, *running]
 	output *table.Striped[instance.Name, *outbox]
 }
 
@@ -95,7 +95,7 @@
 		service: o.Service,
 		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		ledger:  table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
-		calls:   table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
+		calls:   table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
 		output:  table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -61,7 +61,10 @@
 	ask     Ask
 	opens   time.Time
 	expires time.Time
+	// running means that the upstream has the call.
 	running bool
+	// lapsed means that Lapsed has returned the call.
+	lapsed bool
 }
 
 // Ledger is the record of all that a sidecar has promised of one upstream.
@@ -69,6 +72,7 @@
 	id       upstream.ID
 	limits   Limits
 	leaving  bool
+	down     bool
 	grants   map[contract.CallID]*grant
 	prefills map[contract.CallID]*grant
 	blocks   int
@@ -102,6 +106,12 @@
 	l.leaving = leaving
 }
 
+// SetDown says whether the upstream does not answer, so that new work is refused
+// until it does.
+func (l *Ledger) SetDown(down bool) {
+	l.down = down
+}
+
 // Reserve grants a slot, blocks and a window on the import link, all or
 // nothing. Asked again for a call that holds a grant, it renews that grant.
 func (l *Ledger) Reserve(now time.Time, a Ask) (Grant, *contract.Refusal) {
@@ -136,12 +146,13 @@
 	return Grant{WindowIn: max(0, held.opens.Sub(now)), Lease: l.limits.Lease}
 }
 
-// refuseNew refuses work that finds no room. Lapsed grants count until Expire
-// removes them, because the upstream still holds their memory.
+// refuseNew refuses work that finds no room. Lapsed grants count until they are
+// released, because the upstream still holds their memory.
 func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
+	if refusal := l.closed(); refusal != nil {
+		return refusal
+	}
 	switch {
-	case l.leaving:
-		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
 	case len(l.grants) >= l.limits.Slots:
 		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no free slot", l.id))
 	case l.blocks+a.Blocks > l.limits.Blocks && a.Blocks > 0:
@@ -151,30 +162,36 @@
 	}
 }
 
+// closed refuses all new work of an upstream that is leaving or down.
+func (l *Ledger) closed() *contract.Refusal {
+	switch {
+	case l.leaving:
+		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	case l.down:
+		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s does not answer", l.id))
+	default:
+		return nil
+	}
+}
+
 // AcceptPrefill queues a prompt, bounded by tokens. Release takes it out of the
 // queue. One prompt is accepted whatever its length when the queue is empty.
 func (l *Ledger) AcceptPrefill(now time.Time, a Ask) *contract.Refusal {
 	if _, ok := l.prefills[a.Call]; ok {
 		return nil
 	}
-	if l.leaving {
-		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
+	if refusal := l.closed(); refusal != nil {
+		return refusal
 	}
 	limit := l.limits.MaxQueuedTokens
 	if limit > 0 && l.queued > 0 && l.queued+a.Tokens > limit {
 		return contract.RefuseRepeat(contract.CodeOverCapacity, l.prefillTime(l.queued), fmt.Sprintf("upstream %s has %d prompt tokens queued", l.id, l.queued))
 	}
 	l.queued += a.Tokens
-	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.prefillLease(a))}
+	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.limits.Lease)}
 	return nil
 }
 
-// prefillLease bounds how long a prefill counts if nobody releases it: nobody
-// renews it, so it is twice the time that the queue should take, and a lease.
-func (l *Ledger) prefillLease(a Ask) time.Duration {
-	return a.ReadyIn + 2*l.prefillTime(l.queued) + l.limits.Lease
-}
-
 func (l *Ledger) prefillTime(tokens contract.Tokens) time.Duration {
 	if l.limits.PrefillPerSecond <= 0 {
 		return 0
@@ -182,20 +199,29 @@
 	return time.Duration(tokens) * time.Second / time.Duration(l.limits.PrefillPerSecond)
 }
 
-// Renew prolongs the owner's grants and returns the calls that hold none. A
-// grant whose lease ran out is not prolonged: its holder was away too long.
+// Renew prolongs what the owner's calls hold and returns the calls that hold
+// nothing. What has lapsed is not prolonged: its holder was away too long.
 func (l *Ledger) Renew(now time.Time, owner instance.Identity, calls []contract.CallID) (unknown []contract.CallID) {
+	until := now.Add(l.limits.Lease)
 	for _, call := range calls {
-		held, ok := l.grants[call]
-		if !ok || !held.ownedBy(owner) || !now.Before(held.expires) {
+		granted := l.grants[call].renew(now, until, owner)
+		queued := l.prefills[call].renew(now, until, owner)
+		if !granted && !queued {
 			unknown = append(unknown, call)
-			continue
 		}
-		held.expires = now.Add(l.limits.Lease)
 	}
 	return unknown
 }
 
+// renew prolongs a grant of the owner that has not lapsed.
+func (g *grant) renew(now, until time.Time, owner instance.Identity) bool {
+	if g == nil || !g.ownedBy(owner) || !now.Before(g.expires) {
+		return false
+	}
+	g.expires = until
+	return true
+}
+
 // Holds reports whether the call has a grant whose lease runs.
 func (l *Ledger) Holds(now time.Time, call contract.CallID) bool {
 	held, ok := l.grants[call]
@@ -206,7 +232,7 @@
 // the upstream dies. It reports whether the call holds anything.
 func (l *Ledger) Start(now time.Time, call contract.CallID) bool {
 	started := false
-	for _, table := range []map[contract.CallID]*grant{l.grants, l.prefills} {
+	for _, table := range l.tables() {
 		if held, ok := table[call]; ok && now.Before(held.expires) {
 			held.running = true
 			started = true
@@ -215,6 +241,16 @@
 	return started
 }
 
+// Ask gives what a call asked for when it got its grant; ok is false if it holds
+// none.
+func (l *Ledger) Ask(call contract.CallID) (a Ask, ok bool) {
+	held, ok := l.grants[call]
+	if !ok {
+		return Ask{}, false
+	}
+	return held.ask, true
+}
+
 // Transferred gives back what is left of the call's window on the import link.
 func (l *Ledger) Transferred(call contract.CallID) {
 	l.link.Release(call)
@@ -248,35 +284,23 @@
 	return true
 }
 
-// Expire removes the grants whose lease ran out and returns their calls, which
-// the sidecar then cancels at the upstream.
-func (l *Ledger) Expire(now time.Time) []contract.CallID {
-	return l.drop(func(held *grant) bool { return !now.Before(held.expires) })
-}
-
-// Reset forgets everything, because the upstream was restarted, and returns the
-// calls that held something.
-func (l *Ledger) Reset() []contract.CallID {
-	calls := l.drop(func(*grant) bool { return true })
-	l.link.Clear()
-	return calls
-}
-
-// drop removes what matches from both tables, in order of calls.
-func (l *Ledger) drop(match func(*grant) bool) []contract.CallID {
+// Lapsed returns the calls whose lease ran out, each once. The sidecar cancels
+// them at the upstream and releases them then; until that they count.
+func (l *Ledger) Lapsed(now time.Time) []contract.CallID {
 	var calls []contract.CallID
-	for call, held := range l.grants {
-		if match(held) {
-			l.dropGrant(call)
-			calls = append(calls, call)
-		}
-	}
-	for call, held := range l.prefills {
-		if match(held) {
-			l.dropPrefill(call)
-			calls = append(calls, call)
+	for _, table := range l.tables() {
+		for call, held := range table {
+			if !held.lapsed && !now.Before(held.expires) {
+				held.lapsed = true
+				calls = append(calls, call)
+			}
 		}
 	}
 	slices.SortFunc(calls, compareCalls)
 	return slices.Compact(calls)
 }
+
+// tables lists the grants and the prefills.
+func (l *Ledger) tables() []map[contract.CallID]*grant {
+	return []map[contract.CallID]*grant{l.grants, l.prefills}
+}
