--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -49,12 +50,17 @@
 	if err != nil {
 		return err
 	}
+	peers, err := f.network.listen(z, "")
+	if err != nil {
+		return err
+	}
+	options.Addr = peers.Addr().String()
 	options.Peers = dials
 	options.Config = configstore.New(client.Table(), client.Objects())
 	options.Instances = client.Instances()
 	n := &EntryNode{Place: place, entry: entry.New(options), dials: dials, platform: client}
 	f.Entries = append(f.Entries, n)
-	return f.listenEntry(n)
+	return f.listenEntry(n, peers)
 }
 
 // entryOptions are the decisions' part of an entry's options.
@@ -95,8 +101,8 @@
 	}, nil
 }
 
-// listenEntry opens the entry's listeners for callers and peers.
-func (f *Fleet) listenEntry(n *EntryNode) error {
+// listenEntry opens the entry's listener for callers and serves peers.
+func (f *Fleet) listenEntry(n *EntryNode, peers net.Listener) error {
 	l, err := f.network.listen(n.Place.Zone, "")
 	if err != nil {
 		return err
@@ -106,10 +112,6 @@
 	n.server = caller.NewServer(n.handler, caller.Limits{}, f.options.Log)
 	go func() { _ = n.server.Serve(l) }()
 	n.handler.SetReady()
-	peers, err := f.network.listen(n.Place.Zone, "")
-	if err != nil {
-		return err
-	}
 	f.list(fmt.Sprintf("entry-%s", n.Place.Zone), "entry", peers, n.Place)
 	n.peers, err = listenPeers(peers, n.entry, nil)
 	return err
