Serve operators from the entry, and start from seeds

Cause: the operators' service was not reachable; an entry that restarts while the platform is down knew no other entry; settings had words for rules and roles that no package knew. Change: entry and sidecar open all listeners before they start; the entry serves the administration API; seeds are asked while no other entry is known; settings take the words of the packages that use them. Measured: nothing. Conclusion: the processes are complete enough to be run by themselves.

--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -62,6 +62,9 @@
 	Self instance.Identity
 	// Addr is the host:port of the peer listener, told to other entries.
 	Addr string
+	// Seeds are the peer listeners of some other entries, asked while no other
+	// entry is known, so that a restart needs no platform.
+	Seeds []string
 	// Zones are the fleet's availability zones, as far as the settings name
 	// them; others are learned.
 	Zones []zone.AvailabilityZone
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -29,6 +29,8 @@
 // members is what the entry knows of other instances.
 type members struct {
 	*zone.Membership
+	// seeds are asked while no other entry is known.
+	seeds []string
 	// turn says which entries the next heartbeat goes to.
 	turn int
 	// untrustedSince is when trust in the configuration was lost.
@@ -43,21 +45,25 @@
 		Kind:        zone.KindEntry,
 		Addr:        o.Addr,
 	}
-	return &members{Membership: zone.NewMembership(self, o.Zones)}
+	return &members{Membership: zone.NewMembership(self, o.Zones), seeds: o.Seeds}
 }
 
-// nextEntries gives the entries whose turn it is, at most count.
-func (m *members) nextEntries(now time.Time, count int) []zone.Member {
-	var entries []zone.Member
+// nextEntries gives the addresses of the entries whose turn it is, at most
+// count; the seeds if no other entry is known.
+func (m *members) nextEntries(now time.Time, count int) []string {
+	var entries []string
 	for _, member := range m.Members(now) {
 		if member.Kind == zone.KindEntry && member.Addr != "" {
-			entries = append(entries, member)
+			entries = append(entries, member.Addr)
 		}
 	}
+	if len(entries) == 0 {
+		entries = m.seeds
+	}
 	if len(entries) <= count {
 		return entries
 	}
-	var next []zone.Member
+	var next []string
 	for range count {
 		next = append(next, entries[m.turn%len(entries)])
 		m.turn++
@@ -73,10 +79,10 @@
 
 func (e *Entry) sendHeartbeats(h *table.Held, count int) (effects []pool.Effect) {
 	now := e.clock.Now()
-	var next []zone.Member
+	var next []string
 	e.members.With(h, func(m **members) { next = (*m).nextEntries(now, count) })
-	for _, member := range next {
-		effects = append(effects, e.heartbeatTo(member.Addr))
+	for _, addr := range next {
+		effects = append(effects, e.heartbeatTo(addr))
 	}
 	return effects
 }
--- a/internal/process/network.go
+++ b/internal/process/network.go
@@ -5,14 +5,18 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/hex"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
 	"github.com/trefoilwalk/trefoilwalk/link/settings"
 )
@@ -78,6 +82,41 @@
 	return tls.NewListener(raw, config), nil
 }
 
+// openAll opens listeners; if one fails, those opened before are closed.
+func openAll(network Network, wanted ...settings.Listener) (opened []net.Listener, err error) {
+	for _, w := range wanted {
+		l, err := listen(network, w)
+		if err != nil {
+			closeAll(opened)
+			return nil, fmt.Errorf("listener %s: %w", w.Listen, err)
+		}
+		opened = append(opened, l)
+	}
+	return opened, nil
+}
+
+func closeAll(listeners []net.Listener) {
+	for _, l := range listeners {
+		_ = l.Close()
+	}
+}
+
+// operatorsOf gives the operators that the settings name.
+func operatorsOf(named []settings.Operator) (operators []api.Operator, err error) {
+	for _, o := range named {
+		role, ok := api.ParseRole(o.Role)
+		if !ok {
+			return nil, fmt.Errorf("operator %s: unknown role %q", o.Name, o.Role)
+		}
+		hash, err := hex.DecodeString(o.KeySHA256)
+		if err != nil || len(hash) != len(contract.KeyHash{}) {
+			return nil, fmt.Errorf("operator %s: key_sha256 is no hash", o.Name)
+		}
+		operators = append(operators, api.Operator{Name: o.Name, Key: contract.KeyHash(hash), Role: role})
+	}
+	return operators, nil
+}
+
 // dialer opens connections to peers with the certificate of the peer listener.
 func dialer(network Network, l settings.Listener) (rpc.Dialer, error) {
 	config, err := l.TLS()
--- a/link/settings/common.go
+++ b/link/settings/common.go
@@ -66,7 +66,7 @@
 type Operator struct {
 	// Name stands in the audit trail; required.
 	Name string `toml:"name"`
-	// Role is "reader" or "administrator"; required.
+	// Role is "read" or "write"; required.
 	Role string `toml:"role"`
 	// KeySHA256 is the hash of the operator's key in hex; required.
 	KeySHA256 string `toml:"key_sha256"`
@@ -74,14 +74,14 @@
 
 // Roles of operators.
 const (
-	RoleReader        = "reader"
-	RoleAdministrator = "administrator"
+	RoleRead  = "read"
+	RoleWrite = "write"
 )
 
 func checkOperators(c *checker, operators []Operator) {
 	for _, o := range operators {
 		c.name("operators.name", o.Name)
-		c.oneOf("operators.role", o.Role, RoleReader, RoleAdministrator)
+		c.oneOf("operators.role", o.Role, RoleRead, RoleWrite)
 		c.sha256("operators.key_sha256", o.KeySHA256)
 	}
 	unique(c, "operators.name", operators, func(o Operator) string { return o.Name })
--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
+	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
 // Entry is the settings of an entry.
@@ -95,12 +96,11 @@
 
 // Trust says when an entry may serve keyed routes from the configuration it has.
 type Trust struct {
-	// Rule is "store", "zones" or "any"; default "zones": the store was read,
-	// or more than half of the availability zones were heard from, within
-	// Within.
+	// Rule is "majority", "store-only" or "always"; default "majority": the
+	// store was read, or more than half of the availability zones were heard
+	// from, within the last seconds. docs/OPERATIONS.md says what each lets
+	// through.
 	Rule string `toml:"rule"`
-	// Within is how old the news may be; default 5s.
-	Within Duration `toml:"within"`
 }
 
 // Claims bounds requests on routes that may not be repeated.
@@ -121,7 +121,7 @@
 		Limits:    defaultCallerLimits(),
 		Rates:     Rates{Policy: rate.DefaultPolicy, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
 		Placement: Placement{Policy: PlacementReserve, Watch: 16},
-		Trust:     Trust{Rule: "zones", Within: of(5 * time.Second)},
+		Trust:     Trust{Rule: zone.DefaultTrustRule.String()},
 		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
 		Drain:     defaultDrain(),
 	}
@@ -198,8 +198,7 @@
 func (s *Entry) checkPolicies(c *checker) {
 	c.oneOf("placement.policy", s.Placement.Policy, PlacementReserve, PlacementLeastLoaded, PlacementRandomOfTwo)
 	between(c, "placement.watch", s.Placement.Watch, 1, 1000)
-	c.oneOf("trust.rule", s.Trust.Rule, "store", "zones", "any")
-	c.duration("trust.within", s.Trust.Within, 500*time.Millisecond, time.Hour)
+	c.oneOf("trust.rule", s.Trust.Rule, zone.Majority.String(), zone.StoreOnly.String(), zone.Always.String())
 	c.duration("claims.keep", s.Claims.Keep, time.Minute, 90*24*time.Hour)
 	c.duration("claims.sweep_every", s.Claims.SweepEvery, 100*time.Millisecond, time.Hour)
 	between(c, "claims.sweep_batch", s.Claims.SweepBatch, 1, 500)
