--- a/instance/entry/path_test.go
+++ b/instance/entry/path_test.go
@@ -189,10 +189,10 @@
 	now *config.Snapshot
 }
 
-func (s *source) Load(context.Context, *config.Snapshot) (*config.Snapshot, error) {
+func (s *source) Load(context.Context, *config.Snapshot) (config.Loaded, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.now, nil
+	return config.Loaded{Snapshot: s.now}, nil
 }
 
 // withdraw makes a revision in which the key works no more.
--- /dev/null
+++ b/internal/process/entry.go
@@ -0,0 +1,221 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/contract/fair"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
+	"github.com/trefoilwalk/trefoilwalk/instance/entry"
+	"github.com/trefoilwalk/trefoilwalk/instance/operator"
+	"github.com/trefoilwalk/trefoilwalk/link/caller"
+	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
+	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Entry is a running entry with its listeners.
+type Entry struct {
+	// CallerAddr, PeerAddr and OperatorAddr are where it listens.
+	CallerAddr, PeerAddr, OperatorAddr string
+
+	core     *entry.Entry
+	log      hclog.Logger
+	drain    settings.Drain
+	handler  *caller.Handler
+	caller   *http.Server
+	operator *http.Server
+	peers    *rpc.Server
+	peerConn net.Listener
+	dials    *rpc.Dials
+	platform *rest.Client
+	store    *configstore.Store
+}
+
+// entryListeners are opened before the entry starts, so that it knows its own
+// address.
+type entryListeners struct {
+	peer, operator, caller net.Listener
+}
+
+// StartEntry starts an entry.
+func StartEntry(s settings.Entry, o Options) (*Entry, error) {
+	o.setDefaults()
+	p, err := newEntry(s, o)
+	if err != nil {
+		return nil, fmt.Errorf("entry: %w", err)
+	}
+	return p, nil
+}
+
+func newEntry(s settings.Entry, o Options) (*Entry, error) {
+	dial, err := dialer(o.Network, s.Peer)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := operatorsOf(s.Operators)
+	if err != nil {
+		return nil, err
+	}
+	p := &Entry{
+		log:      o.Log,
+		drain:    s.Drain,
+		dials:    rpc.NewDials(dial),
+		platform: rest.New(s.Platform.URL, o.Network.Transport()),
+	}
+	options, err := p.coreOptions(s)
+	if err != nil {
+		return nil, err
+	}
+	listeners, err := openEntry(s, o.Network)
+	if err != nil {
+		return nil, err
+	}
+	options.Addr = listeners.peer.Addr().String()
+	p.core = entry.New(options)
+	return p, p.serve(s, listeners, operators)
+}
+
+// openEntry opens the listeners, or none.
+func openEntry(s settings.Entry, network Network) (l entryListeners, err error) {
+	opened, err := openAll(network, s.Peer, s.Operator, s.Caller)
+	if err != nil {
+		return l, err
+	}
+	return entryListeners{peer: opened[0], operator: opened[1], caller: opened[2]}, nil
+}
+
+// coreOptions are the options of the decisions.
+func (p *Entry) coreOptions(s settings.Entry) (entry.Options, error) {
+	self := identityOf(s.Where)
+	board, err := placement.NewBoard(placement.Options{
+		Self:   self.Place,
+		Policy: s.Placement.Policy,
+		Watch:  s.Placement.Watch,
+		Seed:   uint64(self.Incarnation),
+	})
+	if err != nil {
+		return entry.Options{}, err
+	}
+	rates, err := rate.New(s.Rates.Policy, self, rate.Options{})
+	if err != nil {
+		return entry.Options{}, err
+	}
+	trust, err := zone.ParseTrustRule(s.Trust.Rule)
+	if err != nil {
+		return entry.Options{}, err
+	}
+	p.store = configstore.New(p.platform.Table(), p.platform.Objects())
+	return entry.Options{
+		Self:        self,
+		Seeds:       s.Peers,
+		Zones:       zonesOf(s.Zones),
+		Trust:       trust,
+		Secret:      []byte(s.PseudonymSecret),
+		Workers:     s.Workers,
+		MaxRequests: s.Limits.Running,
+		Board:       board,
+		Rates:       rates,
+		NewQueue:    func() fair.Queue { return fair.NewWeighted(s.Limits.Running) },
+		Peers:       p.dials,
+		Config:      p.store,
+		Instances:   p.platform.Instances(),
+		Log:         p.log,
+	}, nil
+}
+
+func zonesOf(names []string) (zones []zone.AvailabilityZone) {
+	for _, name := range names {
+		zones = append(zones, zone.AvailabilityZone(name))
+	}
+	return zones
+}
+
+// serve answers on the listeners, on that of the callers last.
+func (p *Entry) serve(s settings.Entry, l entryListeners, operators []api.Operator) error {
+	peers, err := rpc.NewServer(p.core, nil)
+	if err != nil {
+		return err
+	}
+	p.peers = peers
+	p.peerConn = l.peer
+	p.PeerAddr = l.peer.Addr().String()
+	go p.peers.Serve(l.peer)
+
+	p.OperatorAddr = l.operator.Addr().String()
+	p.operator = api.NewServer(api.Options{
+		Service:   operator.NewService(p.store, p.core, p.core, clock.System{}),
+		Operators: operators,
+		Ready:     p.ready,
+		Log:       p.log,
+	})
+	go serve(p.operator, l.operator, p.log)
+
+	p.CallerAddr = l.caller.Addr().String()
+	p.handler = caller.NewHandler(p.core, s.Limits.Caller(), p.log)
+	p.handler.SetReady()
+	p.caller = caller.NewServer(p.handler, s.Limits.Caller(), p.log)
+	go serve(p.caller, l.caller, p.log)
+	return nil
+}
+
+// serve runs an HTTP server until it is shut down.
+func serve(server *http.Server, l net.Listener, log hclog.Logger) {
+	err := server.Serve(l)
+	if !errors.Is(err, http.ErrServerClosed) {
+		log.Error("listener ended", "address", l.Addr().String(), "error", err)
+	}
+}
+
+// ready says whether the balancer should send requests here.
+func (p *Entry) ready() (ok bool, reason string) {
+	state := p.core.State()
+	return state == instance.Serving, state.String()
+}
+
+// Shutdown ends the entry gracefully: the balancer is told first, then new
+// requests are refused, and the running ones finish within the drain limit.
+func (p *Entry) Shutdown(ctx context.Context) error {
+	p.handler.SetUnready("draining")
+	wait(ctx, p.drain.Notice.Duration)
+	p.handler.Drain()
+	ctx, cancel := context.WithTimeout(ctx, p.drain.Limit.Duration)
+	defer cancel()
+	err := p.core.Drain(ctx)
+	err = errors.Join(err, p.caller.Shutdown(ctx))
+	p.Kill()
+	return err
+}
+
+// wait returns after d or when ctx ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// Kill ends the entry at once, as a crash would.
+func (p *Entry) Kill() {
+	_ = p.caller.Close()
+	_ = p.operator.Close()
+	_ = p.peerConn.Close()
+	p.peers.Close()
+	p.dials.Close()
+	p.core.Close()
+	p.platform.Close()
+}
--- a/link/peer/header.go
+++ b/link/peer/header.go
@@ -11,6 +11,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 )
 
 // Header opens each message and each reply.
@@ -19,16 +20,21 @@
 	// Revision is the highest configuration revision that the sender has.
 	Revision contract.Revision
 	// Quarantine tells of requests that crash upstreams.
-	Quarantine []QuarantineNote
+	Quarantine []quarantine.Note
 	// ZonesHeard are the availability zones from which the sender heard
 	// lately, with the age of the news.
 	ZonesHeard []ZoneNews
 }
 
-// QuarantineNote says that a fingerprint must not run for some time.
-type QuarantineNote struct {
-	Fingerprint contract.Fingerprint
-	For         time.Duration
+// Head gives the header of the message that it opens.
+func (h *Header) Head() *Header {
+	return h
+}
+
+// Message is any message or reply.
+type Message interface {
+	// Head gives the message's header.
+	Head() *Header
 }
 
 // ZoneNews says how long ago an availability zone was heard from.
