Rates: no token lost on the way, and a first-come wait within an account

Measured on the simulated fleet, wrongful refusals came from five causes: a grant decided while another request was admitted got lost; an entry near its limit stopped accruing while a gift was on its way; what requests did not use found no room where it was settled; later requests passed older ones; and a peer whose own requests waited seemed empty. Gifts near the limit are confirmed, what is not used is offered to the emptiest holder, and tickets are paid in order.

--- a/contract/rate/account.go
+++ b/contract/rate/account.go
@@ -21,11 +21,18 @@
 	// find room until owedUntil.
 	owed      float64
 	owedUntil time.Time
+	offered   time.Time
 	// reserved lowers the limit of hand for what peers hold as lots.
 	reserved []reservation
 	tickets  []ticket
 	asks     []openAsk
 	peers    map[instance.Name]level
+	// holders are those of the epoch; part is this entry's share in the span
+	// that began at partFrom.
+	holders  []instance.Identity
+	epoch    uint64
+	part     float64
+	partFrom time.Time
 	// typical is a moving average of the cost of requests.
 	typical float64
 	// used is when a request asked last.
@@ -112,13 +119,16 @@
 	return sum
 }
 
-// leastCost is the cost of the cheapest waiting ticket.
-func (a *account) leastCost() float64 {
-	least := a.tickets[0].cost
+// payable is the cost of the first tickets, as many as the tokens pay for.
+func (a *account) payable(tokens float64) float64 {
+	sum := 0.0
 	for i := range a.tickets {
-		least = math.Min(least, a.tickets[i].cost)
+		if sum+a.tickets[i].cost > tokens {
+			break
+		}
+		sum += a.tickets[i].cost
 	}
-	return least
+	return sum
 }
 
 // asked reports whether an ask to a peer has no answer yet and may still get
--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -32,10 +32,6 @@
 	leaving  bool
 	// spread means that the others are still to be sent the layout.
 	spread bool
-	// refunds numbers the refunds sent; refunded is the highest number taken
-	// from each peer.
-	refunds  uint64
-	refunded map[instance.Identity]uint64
 }
 
 // NewEscrow returns an entry's part. It grants nothing before it has a layout,
@@ -55,7 +51,6 @@
 		alive:    make(map[instance.Name]instance.Incarnation),
 		accounts: make(map[contract.AccountID]*account),
 		outbox:   make(map[instance.Name]*Message),
-		refunded: make(map[instance.Identity]uint64),
 	}
 }
 
@@ -172,30 +167,18 @@
 	a.typical += (float64(cost) - a.typical) / typicalOver
 	if len(a.tickets) == 0 && e.spendable(now, a) >= float64(cost) {
 		a.spend(now, float64(cost))
-		return Verdict{State: Granted, Out: e.flush(now)}
-	}
-	a.tickets = append(a.tickets, ticket{
-		id: id, cost: float64(cost), arrived: now, deadline: now.Add(max(patience, minPatience)),
-	})
-	var result Result
-	e.progress(now, a, &result)
-	return e.verdict(now, id, result)
-}
-
-// verdict turns what came of a new ticket into the answer. Others of the account
-// can't have been decided, since nothing came in.
-func (e *Escrow) verdict(now time.Time, id contract.RequestID, result Result) Verdict {
-	out := e.flush(now)
-	for _, d := range result.Decided {
-		switch {
-		case d.Ticket != id:
-		case d.Granted:
-			return Verdict{State: Granted, Out: out}
-		default:
-			return Verdict{State: Refused, After: d.After, Out: out}
-		}
-	}
-	return Verdict{State: Waiting, Out: out}
+		e.credit(now, a)
+		return Verdict{State: Granted}
+	}
+	t := ticket{id: id, cost: float64(cost), arrived: now, deadline: now.Add(max(patience, minPatience))}
+	peers := e.peers(a)
+	after := e.outlook(now, a, peers, a.waitingCost()+t.cost)
+	if now.Add(after).After(t.deadline) && e.fresh(now, a, peers) {
+		return Verdict{State: Refused, After: max(after, TickEvery)}
+	}
+	a.tickets = append(a.tickets, t)
+	e.gather(now, a, peers, false)
+	return Verdict{State: Waiting, Out: e.flush(now)}
 }
 
 // Abandon implements Policy.
@@ -260,7 +243,7 @@
 	e.accrue(now, a)
 	e.returnLots(now, a)
 	a.expire(now)
-	e.progress(now, a, result)
+	e.progress(now, a, true, result)
 	e.credit(now, a)
 	e.passOn(now, a)
 	e.level(now, a)
@@ -312,12 +295,12 @@
 // accrue brings hand up to now, or to the end of the promises.
 func (e *Escrow) accrue(now time.Time, a *account) {
 	until := earlier(now, e.tenure.heldUntil())
-	e.history.accrue(&a.hand, until, e.self, a.id, e.limits[a.id].Rate, a.totalReserved())
+	e.history.accrue(a, until, e.self, e.limits[a.id].Rate)
 }
 
 // limit is the most that hand may hold, reservations aside.
 func (e *Escrow) limit(now time.Time, a *account) float64 {
-	return e.history.at(now).share(e.self, a.id) * float64(e.limits[a.id].Rate.Burst)
+	return a.share(e.history.at(now), e.self) * float64(e.limits[a.id].Rate.Burst)
 }
 
 // holds reports whether this entry may spend what is in hand.
--- a/contract/rate/handle.go
+++ b/contract/rate/handle.go
@@ -33,7 +33,9 @@
 			e.returned(now, from.Name, r)
 		}
 	}
-	e.refund(now, from, m.Refunds)
+	for _, o := range m.Offers {
+		e.offer(now, from.Name, o)
+	}
 	for _, ask := range m.Asks {
 		e.give(now, from.Name, ask)
 	}
@@ -50,19 +52,26 @@
 	e.spread = spread
 }
 
-// refund takes what a peer had no room for.
-func (e *Escrow) refund(now time.Time, from instance.Identity, refunds []Refund) {
-	for _, r := range refunds {
-		_, known := e.limits[r.Account]
-		if r.Number <= e.refunded[from] || !known || r.Age >= owedFor {
-			continue
-		}
-		e.refunded[from] = r.Number
-		a := e.account(now, r.Account)
-		a.owed += r.Amount
-		a.owedUntil = later(a.owedUntil, now.Add(owedFor-r.Age))
-		e.credit(now, a)
+// offer asks for what a peer has no room for.
+func (e *Escrow) offer(now time.Time, from instance.Name, o Offer) {
+	if _, ok := e.limits[o.Account]; !ok || !e.holds(now) {
+		return
 	}
+	a := e.account(now, o.Account)
+	room := e.limit(now, a) - a.totalReserved() - a.hand.tokens
+	if need := math.Min(room, o.Amount); need >= 1 {
+		e.ask(now, a, from, Ask{Need: need, Offered: true})
+	}
+}
+
+// giveOffered answers an ask for what was offered. None of it was in hand, so
+// nothing is reserved.
+func (e *Escrow) giveOffered(now time.Time, to instance.Name, ask Ask) {
+	a := e.account(now, ask.Account)
+	amount := math.Min(a.owed, ask.Need)
+	a.owed -= amount
+	m := e.to(to)
+	m.Gifts = append(m.Gifts, Gift{Ask: ask.ID, Account: ask.Account, Amount: amount, Have: math.Max(a.hand.tokens, 0), Offered: true})
 }
 
 // answerTo makes sure that the answer goes to the incarnation that asked.
@@ -89,14 +98,21 @@
 	if _, ok := e.limits[ask.Account]; !ok {
 		return
 	}
+	if ask.Offered {
+		e.giveOffered(now, to, ask)
+		return
+	}
 	gift := Gift{Ask: ask.ID, Account: ask.Account}
 	a := e.account(now, ask.Account)
 	if e.holds(now) && !e.waitsLonger(now, a, to, ask) {
 		gift.Amount = e.giftTo(a, ask)
 		a.hand.tokens -= gift.Amount
-		gift.Have = math.Max(a.hand.tokens, 0)
+	}
+	if e.holds(now) {
+		gift.Have = math.Max(a.hand.tokens-a.waitingCost(), 0)
 	}
 	if gift.Amount > 0 {
+		gift.Confirm = a.hand.tokens+a.totalReserved()+gift.Amount > confirmAbove*e.limit(now, a)
 		a.reserved = append(a.reserved, reservation{to: to, ask: ask.ID, amount: gift.Amount, until: now.Add(reserveFor)})
 	}
 	e.learn(now, a, to, ask.Have)
@@ -152,24 +168,29 @@
 	}
 	until := open.sent.Add(giftFor)
 	if g.Amount <= 0 || !now.Before(until) {
-		e.progress(now, a, result)
+		e.progress(now, a, false, result)
 		return
 	}
 	over := g.Amount
 	if e.holds(now) {
 		over = a.hand.give(g.Amount, e.limit(now, a)-a.totalReserved())
 	}
-	if over > 0 {
+	if over == 0 && g.Confirm {
+		m := e.to(from)
+		m.Returns = append(m.Returns, Return{Ask: g.Ask, Account: a.id})
+	}
+	if over > 0 && !g.Offered {
 		a.lots = append(a.lots, lot{from: from, ask: g.Ask, amount: over, until: until})
 	}
-	e.progress(now, a, result)
+	e.progress(now, a, false, result)
 	e.returnLots(now, a)
 }
 
-// returnLots puts lots that no ticket waits for into hand, and what has no room
-// there goes back to the giver.
+// returnLots puts lots into hand that no ticket waits for or that turned out too
+// little; what has no room there goes back to the giver.
 func (e *Escrow) returnLots(now time.Time, a *account) {
-	if len(a.tickets) > 0 {
+	waits := slices.ContainsFunc(a.asks, func(o openAsk) bool { return now.Sub(o.sent) < giftFor })
+	if len(a.tickets) > 0 && waits {
 		return
 	}
 	for _, l := range a.lots {
--- a/contract/rate/handover.go
+++ b/contract/rate/handover.go
@@ -24,23 +24,35 @@
 	keepIdle = 10 * time.Second
 	// freshFor is how long a peer's answer says all there is to know.
 	freshFor = TickEvery
+	// recheckEvery is when a peer is asked again, while a ticket waits, that
+	// seems to have nothing.
+	recheckEvery = 4 * TickEvery
+	// collectParts is in how many parts, at most, a ticket's tokens are
+	// collected ahead of time.
+	collectParts = 8
 	// typicalOver is the number of requests that the average cost is over.
 	typicalOver = 8
 	// lowOn is how many typical requests hand should cover without asking.
 	lowOn = 4
 	// nearFull and farFromFull are fractions of the limit: tokens move from a
 	// peer near its limit, where accrual stops, to an entry far from its own.
-	nearFull    = 0.9
-	farFromFull = 0.8
+	nearFull    = 0.95
+	farFromFull = 0.93
+	// confirmAbove is the fraction of its limit from which a giver would lose
+	// accrual if its limit stayed lowered.
+	confirmAbove = 0.75
 	// levelGap is the least difference, in parts of the limit, that is worth a
 	// message.
-	levelGap = 0.05
+	levelGap = 0.03
 )
 
 // peers gives the other holders of an account that are believed alive.
 func (e *Escrow) peers(a *account) []instance.Name {
-	var names []instance.Name
-	for _, h := range holders(e.tenure.layout.Members, a.id) {
+	if a.epoch != e.tenure.layout.Epoch {
+		a.epoch, a.holders = e.tenure.layout.Epoch, holders(e.tenure.layout.Members, a.id)
+	}
+	names := make([]instance.Name, 0, MaxHolders)
+	for _, h := range a.holders {
 		if incarnation, ok := e.alive[h.Name]; ok && incarnation == h.Incarnation {
 			names = append(names, h.Name)
 		}
@@ -79,8 +91,9 @@
 	return 1 / float64(n)
 }
 
-// progress grants, refuses and asks for the waiting tickets of an account.
-func (e *Escrow) progress(now time.Time, a *account, result *Result) {
+// progress grants, refuses and asks for the waiting tickets of an account; with
+// ahead it collects tokens ahead of time.
+func (e *Escrow) progress(now time.Time, a *account, ahead bool, result *Result) {
 	e.grant(now, a, result)
 	if len(a.tickets) == 0 {
 		return
@@ -88,15 +101,20 @@
 	peers := e.peers(a)
 	e.refuse(now, a, peers, result)
 	if len(a.tickets) > 0 {
-		e.gather(now, a, peers)
+		e.gather(now, a, peers, ahead)
 	}
 }
 
-// grant pays for the tickets that can be paid for, the oldest first. One that
-// costs more than there is does not keep back those after it.
+// grant pays for tickets in the order of their arrival. One whose time is up may
+// pass those before it.
 func (e *Escrow) grant(now time.Time, a *account, result *Result) {
+	blocked := false
 	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool {
+		if blocked && now.Before(t.deadline) {
+			return false
+		}
 		if e.spendable(now, a) < t.cost {
+			blocked = true
 			return false
 		}
 		a.spend(now, t.cost)
@@ -106,20 +124,28 @@
 	})
 }
 
-// refuse ends the wait of tickets whose time is up, or who will not get their
-// tokens in time as far as the peers said lately.
-func (e *Escrow) refuse(now time.Time, a *account, peers []instance.Name, result *Result) {
+// outlook is how long a ticket must wait until it and the tickets ahead of it
+// have their tokens, as far as the peers said.
+func (e *Escrow) outlook(now time.Time, a *account, peers []instance.Name, cost float64) time.Duration {
 	total := e.spendable(now, a)
 	for _, p := range peers {
 		total += e.estimate(now, a, p, e.part(a))
 	}
-	certain := e.fresh(now, a, peers)
 	perSecond := float64(e.limits[a.id].Rate.PerSecond)
+	return until(contract.Tokens(math.Ceil(cost)), total, perSecond)
+}
+
+// refuse ends the wait of tickets whose time is up, or who will not get their
+// tokens in time as far as the peers said lately.
+func (e *Escrow) refuse(now time.Time, a *account, peers []instance.Name, result *Result) {
+	certain := e.fresh(now, a, peers)
+	ahead := 0.0
 	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool {
-		after := until(contract.Tokens(math.Ceil(t.cost)), total, perSecond)
+		after := e.outlook(now, a, peers, ahead+t.cost)
 		over := !now.Before(t.deadline)
 		hopeless := certain && now.Add(after).After(t.deadline)
 		if !over && !hopeless {
+			ahead += t.cost
 			return false
 		}
 		result.Decided = append(result.Decided, Decided{Ticket: t.id, After: max(after, TickEvery)})
@@ -142,25 +168,27 @@
 }
 
 // gather asks peers for what the waiting tickets miss, the fullest first and as
-// few as will do. If the peers seem to have too little for any ticket, only
-// those that said nothing lately are asked.
-func (e *Escrow) gather(now time.Time, a *account, peers []instance.Name) {
+// few as will do. With ahead, what has room in hand is collected ahead of time;
+// the rest only when the peers seem to have enough for the next ticket. If they
+// have not, those that said nothing lately are asked in any case.
+func (e *Escrow) gather(now time.Time, a *account, peers []instance.Name, ahead bool) {
 	have := e.spendable(now, a)
-	missing := a.waitingCost() - have
-	least := a.leastCost() - have
-	offers, pending, sum := e.offers(now, a, peers)
-	if pending && sum < least {
-		return
+	offers, _, sum := e.offers(now, a, peers)
+	payable := a.payable(have + sum)
+	probe := payable == 0
+	missing := payable - have
+	least := 1.0
+	if ahead && e.holds(now) {
+		least = a.tickets[0].cost / collectParts
+		room := e.limit(now, a) - a.totalReserved() - a.hand.tokens
+		missing = math.Max(missing, math.Min(a.waitingCost()-have, room))
 	}
 	for _, o := range offers {
-		stale := now.Sub(a.peers[o.peer].at) > freshFor
-		if missing <= 0 || (sum < least && !stale) {
-			return
-		}
-		need := math.Ceil(math.Min(o.have, missing))
-		if stale && sum < missing {
-			need = math.Ceil(missing)
+		stale := now.Sub(a.peers[o.peer].at) > recheckEvery
+		if (missing < 1 || o.have < least) && !(probe && stale) {
+			continue
 		}
+		need := math.Ceil(math.Max(math.Min(o.have, missing), 1))
 		missing -= o.have
 		e.ask(now, a, o.peer, Ask{Need: need, Age: now.Sub(a.tickets[0].arrived) + 1})
 	}
@@ -212,10 +240,10 @@
 	m.Asks = append(m.Asks, ask)
 }
 
-// passOn sends what is owed and found no room here to the peer that seems to
+// passOn offers what is owed and found no room here to the peer that seems to
 // have the most room.
 func (e *Escrow) passOn(now time.Time, a *account) {
-	if a.owed < 1 {
+	if a.owed < 1 || now.Sub(a.offered) < giftFor {
 		return
 	}
 	offers, _, _ := e.offers(now, a, e.peers(a))
@@ -227,10 +255,7 @@
 	if !roomy && e.holds(now) && e.limit(now, a) > 0 {
 		return
 	}
-	e.refunds++
+	a.offered = now
 	m := e.to(emptiest.peer)
-	m.Refunds = append(m.Refunds, Refund{
-		Number: e.refunds, Account: a.id, Amount: a.owed, Age: now.Sub(a.owedUntil.Add(-owedFor)),
-	})
-	a.owed = 0
+	m.Offers = append(m.Offers, Offer{Account: a.id, Amount: a.owed})
 }
--- a/contract/rate/message.go
+++ b/contract/rate/message.go
@@ -26,7 +26,7 @@
 	Asks    []Ask
 	Gifts   []Gift
 	Returns []Return
-	Refunds []Refund
+	Offers  []Offer
 }
 
 // Ask asks a peer to hand over tokens of an account.
@@ -39,6 +39,8 @@
 	Need float64
 	// Age is how long that ticket waits; 0 in the background.
 	Age time.Duration
+	// Offered asks for what was offered.
+	Offered bool
 }
 
 // Gift answers an ask. The giver has already subtracted the amount, and keeps
@@ -49,22 +51,25 @@
 	Amount  float64
 	// Have is what the giver would still give.
 	Have float64
+	// Offered gifts come from what was offered, not from the giver's hand, so
+	// they are kept only as far as there is room.
+	Offered bool
+	// Confirm asks for a return of nothing once the gift is in hand, since the
+	// giver is near its limit.
+	Confirm bool
 }
 
-// Return sends back a part of a gift that was not spent in time.
+// Return sends back the part of a gift that was not spent in time. The giver's
+// limit is its own again.
 type Return struct {
 	Ask     uint64
 	Account contract.AccountID
 	Amount  float64
 }
 
-// Refund passes on what requests did not use, to an entry with room for it. Its
-// number rises from one message of a sender to the next, so that a repeated one
-// counts once.
-type Refund struct {
-	Number  uint64
+// Offer tells an entry that seems to have room of tokens that requests did not
+// use, so that it asks for them.
+type Offer struct {
 	Account contract.AccountID
 	Amount  float64
-	// Age is how long ago the requests were settled.
-	Age time.Duration
 }
--- a/contract/rate/span.go
+++ b/contract/rate/span.go
@@ -55,27 +55,37 @@
 	return &span{}
 }
 
-// accrue brings a bucket up to now through all spans since it was looked at. A
-// smaller share cuts what is held; a share that was lost takes all of it.
-func (h history) accrue(b *bucket, now time.Time, self instance.Identity, account contract.AccountID, limit contract.Rate, reserved float64) {
+// accrue brings an account's hand up to now through all spans since it was looked
+// at. A smaller share cuts what is held; a share that was lost takes all of it.
+func (h history) accrue(a *account, now time.Time, self instance.Identity, limit contract.Rate) {
 	if len(h) == 0 {
 		return
 	}
+	b := &a.hand
 	if b.at.Before(h[0].from) {
 		b.tokens, b.at = math.Min(b.tokens, 0), h[0].from
 	}
+	reserved := a.totalReserved()
 	for i := range h {
-		to := now
+		to, last := now, true
 		if i+1 < len(h) && h[i+1].from.Before(now) {
-			to = h[i+1].from
+			to, last = h[i+1].from, false
 		}
-		if i+1 < len(h) && to.Before(b.at) {
+		if !last && to.Before(b.at) {
 			continue
 		}
-		part := h[i].share(self, account)
+		part := a.share(&h[i], self)
 		b.accrue(to, part*float64(limit.PerSecond), part*float64(limit.Burst)-reserved)
-		if !to.Before(now) {
+		if last {
 			return
 		}
 	}
 }
+
+// share is the entry's fraction during a span, remembered for the latest one.
+func (a *account) share(s *span, self instance.Identity) float64 {
+	if a.partFrom != s.from || a.partFrom.IsZero() {
+		a.part, a.partFrom = s.share(self, a.id), s.from
+	}
+	return a.part
+}
--- a/internal/ratesim/fleet.go
+++ b/internal/ratesim/fleet.go
@@ -64,14 +64,15 @@
 	Entries []*Entry
 	// StoreDown makes the table unreachable for all.
 	StoreDown bool
-	// Messages and Bytes count what the policies sent.
-	Messages int
-	options  Options
-	rng      *rand.Rand
-	events   events
-	seq      int
-	cut      map[[2]instance.Name]bool
-	offStore map[instance.Name]bool
+	// Messages counts those that the policies sent about accounts; Renewals the
+	// others.
+	Messages, Renewals int
+	options            Options
+	rng                *rand.Rand
+	events             events
+	seq                int
+	cut                map[[2]instance.Name]bool
+	offStore           map[instance.Name]bool
 	// quiet entries get no callers.
 	quiet  map[instance.Name]bool
 	layout *rate.Layout
@@ -262,7 +263,11 @@
 func (f *Fleet) send(e *Entry, out []rate.Outgoing) {
 	from := e.Identity
 	for _, o := range out {
-		f.Messages++
+		if m := o.Message; len(m.Asks)+len(m.Gifts)+len(m.Returns)+len(m.Offers) > 0 {
+			f.Messages++
+		} else {
+			f.Renewals++
+		}
 		to := f.find(o.To)
 		f.deliver(e, to, func() { f.result(to, to.Policy.Handle(f.clock(to), from, o.Message)) })
 	}
--- a/internal/ratesim/meter.go
+++ b/internal/ratesim/meter.go
@@ -1,6 +1,7 @@
 package ratesim
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -29,6 +30,7 @@
 type call struct {
 	account contract.AccountID
 	cost    contract.Tokens
+	arrived time.Duration
 	entry   *Entry
 	run     instance.Incarnation
 	use     float64
@@ -37,18 +39,17 @@
 // Tally is what one account got.
 type Tally struct {
 	limit contract.Rate
-	// level is what one bucket for the whole fleet would hold.
-	level float64
-	// upper is the same for the bound: what a request did not use may come into
-	// the bucket a little later, when there is room.
+	// upper is what one bucket for the whole fleet holds; what a request did not
+	// use may come into it a little later, when there is room.
 	upper float64
 	owed  []owed
 	at    time.Duration
+	story []moment
 	// Over is the most that was granted beyond the bound, in tokens.
 	Over float64
 	// Asked, Granted, Refused and Wrongful count requests; Lost ones were at an
 	// entry that crashed.
-	Asked, Granted, Refused, Wrongful, Lost int
+	Asked, Granted, Refused, Lost int
 	// Served and Due are tokens granted here and by the ideal entry.
 	Served, Due contract.Tokens
 }
@@ -73,7 +74,7 @@
 	limits := make(map[contract.AccountID]contract.ClientAccount)
 	for _, a := range accounts {
 		limits[a.ID] = a
-		m.accounts[a.ID] = &Tally{limit: a.Rate, level: float64(a.Rate.Burst), upper: float64(a.Rate.Burst)}
+		m.accounts[a.ID] = &Tally{limit: a.Rate, upper: float64(a.Rate.Burst)}
 	}
 	m.ideal.SetContracts(epoch, 1, limits)
 	var tick func()
@@ -97,7 +98,7 @@
 	m := f.meter
 	m.seq++
 	id := contract.RequestID(fmt.Sprint("r", m.seq))
-	c := call{account: account, cost: cost, entry: e, run: e.Identity.Incarnation, use: use}
+	c := call{account: account, cost: cost, arrived: f.Now, entry: e, run: e.Identity.Incarnation, use: use}
 	m.idealAdmit(id, c, patience)
 	m.accounts[account].Asked++
 	m.Admitted++
@@ -134,16 +135,13 @@
 	delete(m.waiting, d.Ticket)
 	t := m.accounts[c.account]
 	t.advance(m.fleet.Now)
+	t.story = append(t.story, moment{at: c.arrived, cost: float64(c.cost), granted: d.Granted})
 	if !d.Granted {
 		t.Refused++
-		if t.level >= float64(c.cost) {
-			t.Wrongful++
-		}
 		return
 	}
 	t.Granted++
 	t.Served += c.cost
-	t.level -= float64(c.cost)
 	t.upper -= float64(c.cost)
 	t.credit(m.fleet.Now)
 	t.Over = math.Max(t.Over, -t.upper)
@@ -162,7 +160,7 @@
 			return
 		}
 		t.advance(f.Now)
-		t.level = math.Min(t.level+float64(c.cost-used), float64(t.limit.Burst))
+		t.story = append(t.story, moment{at: f.Now, refund: float64(c.cost - used)})
 		t.owed = append(t.owed, owed{amount: float64(c.cost - used), until: f.Now + owedFor})
 		t.credit(f.Now)
 		c.entry.Policy.Settle(f.clock(c.entry), c.account, c.cost, used)
@@ -181,7 +179,6 @@
 
 func (t *Tally) advance(now time.Duration) {
 	accrued := (now - t.at).Seconds() * float64(t.limit.PerSecond)
-	t.level = math.Min(t.level+accrued, float64(t.limit.Burst))
 	t.upper = math.Min(t.upper+accrued, float64(t.limit.Burst))
 	t.at = now
 	t.credit(now)
@@ -197,6 +194,37 @@
 	}
 }
 
+// moment is an arrival with its outcome, or a refund.
+type moment struct {
+	at           time.Duration
+	cost, refund float64
+	granted      bool
+}
+
+// Wrongful counts the requests that were refused though, when they arrived, the
+// account was within its contract over the whole fleet, with all requests that
+// arrived before and were granted charged at their arrival. Its rate is less by
+// what two clocks may differ, since entries must keep the bound with fast clocks.
+func (t *Tally) Wrongful() int {
+	slices.SortStableFunc(t.story, func(a, b moment) int { return cmp.Compare(a.at, b.at) })
+	burst := float64(t.limit.Burst)
+	perSecond := float64(t.limit.PerSecond) * (1 - 2*rate.ClockDrift)
+	level, at, wrongful := burst, time.Duration(0), 0
+	for _, m := range t.story {
+		level = math.Min(level+(m.at-at).Seconds()*perSecond, burst)
+		at = m.at
+		switch {
+		case m.refund > 0:
+			level = math.Min(level+m.refund, burst)
+		case m.granted:
+			level -= m.cost
+		case level >= m.cost:
+			wrongful++
+		}
+	}
+	return wrongful
+}
+
 func (m *Meter) idealAdmit(id contract.RequestID, c call, patience time.Duration) {
 	m.idealFor[id] = c
 	v := m.ideal.Admit(m.clock(), id, c.account, c.cost, patience)
--- a/internal/ratesim/scenario.go
+++ b/internal/ratesim/scenario.go
@@ -58,8 +58,10 @@
 	Wrongful      int     `json:"wrongful"`
 	WrongfulShare float64 `json:"wrongful_share"`
 	// WorstServed is the least share of its due that any account got.
-	WorstServed         float64 `json:"worst_served"`
-	MessagesPerRequest  float64 `json:"messages_per_request"`
+	WorstServed        float64 `json:"worst_served"`
+	MessagesPerRequest float64 `json:"messages_per_request"`
+	// RenewalsPerSecond is what one entry sends whatever the load.
+	RenewalsPerSecond   float64 `json:"renewals_per_second"`
 	MicrosecondsToAdmit float64 `json:"microseconds_to_admit"`
 }
 
@@ -72,7 +74,7 @@
 		return Report{}, err
 	}
 	f.Run(warmUp)
-	f.Messages = 0
+	f.Messages, f.Renewals = 0, 0
 	load(f, s, accounts)
 	disturb(f, s)
 	f.Run(warmUp + measured + time.Second)
@@ -177,13 +179,14 @@
 		t := f.Tally(a.ID)
 		r.OverTokens = max(r.OverTokens, t.Over)
 		r.Asked += t.Asked
-		r.Wrongful += t.Wrongful
+		r.Wrongful += t.Wrongful()
 		if t.Due > 0 {
 			r.WorstServed = min(r.WorstServed, float64(t.Served)/float64(t.Due))
 		}
 	}
 	r.WrongfulShare = float64(r.Wrongful) / float64(max(r.Asked, 1))
 	r.MessagesPerRequest = float64(f.Messages) / float64(max(r.Asked, 1))
+	r.RenewalsPerSecond = float64(f.Renewals) / float64(s.Entries) / measured.Seconds()
 	r.MicrosecondsToAdmit = float64(f.meter.Spent.Microseconds()) / float64(max(r.Asked, 1))
 	return r
 }
