--- /dev/null
+++ b/internal/capacity/measure.go
@@ -0,0 +1,24 @@
+package capacity
+
+// Measure measures everything, one thing after the other, in about a minute.
+func Measure(progress func(Slope)) ([]Slope, error) {
+	var all []Slope
+	for _, measure := range []func() ([]Slope, error){
+		configCost,
+		rateCost,
+		waitingCost,
+		pollCost,
+		idleCost,
+		requestCost,
+	} {
+		slopes, err := measure()
+		if err != nil {
+			return all, err
+		}
+		for _, s := range slopes {
+			progress(s)
+		}
+		all = append(all, slopes...)
+	}
+	return all, nil
+}
