--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -47,8 +47,14 @@
 		refusal := contract.RefuseRepeat(contract.CodeNoUpstream, RetryWhenBusy, "no upstream serves this route now")
 		return e.finish(h, id, refusal)
 	}
+	choice := choices[0]
+	e.updateCall(h, q.Call, func(r *request) {
+		r.calling = &choice
+		r.sent = now
+	})
 	q.Header = e.header(h)
-	return []pool.Effect{e.callAt(choices[0], q)}
+	effects := e.track(h, choice.Addr, q.Call)
+	return append(effects, e.callAt(choice, q))
 }
 
 // callAt makes the call at one upstream.
@@ -75,14 +81,19 @@
 // called hands the answer on, or tries another upstream while that is allowed.
 func (e *Entry) called(h *table.Held, choice placement.Choice, q *peer.ServiceRequest, reply *peer.ServiceReply, err error) []pool.Effect {
 	refusal := callRefusal(err)
+	e.untrack(h, choice.Addr, q.Call)
 	if err != nil {
 		e.observe(h, nil, []upstream.ID{choice.ID})
 	} else {
 		e.observe(h, []upstream.Load{reply.Load}, nil)
+		e.heardNotes(h, reply.Header)
 		refusal = reply.Refusal
 	}
 	if refusal == nil {
-		return e.answered(h, q.Call, reply.Answer)
+		return e.answered(h, choice, q.Call, reply.Answer)
+	}
+	if refusal.Ran == contract.RanUnknown && err == nil {
+		e.observe(h, nil, []upstream.ID{choice.ID})
 	}
 	if e.mayRepeat(h, q, choice, refusal) {
 		return e.startCall(h, q.Call.Request)
@@ -91,8 +102,10 @@
 }
 
 // answered leaves the answer in the request's row and ends it.
-func (e *Entry) answered(h *table.Held, call contract.CallID, answer contract.ServiceAnswer) []pool.Effect {
+func (e *Entry) answered(h *table.Held, choice placement.Choice, call contract.CallID, answer contract.ServiceAnswer) []pool.Effect {
 	e.updateCall(h, call, func(r *request) {
+		e.succeeded(h, choice.ID, e.clock.Now().Sub(r.sent))
+		r.calling = nil
 		r.answer = &answer
 		r.lastDelivery = e.clock.Now()
 		r.firstToken = r.lastDelivery.Sub(r.Arrived)
@@ -106,7 +119,11 @@
 	if refusal.Ran != contract.RanNo && q.Once {
 		return false
 	}
+	if e.stopRetry(h, q.Fingerprint, refusal, !q.Once) != nil {
+		return false
+	}
 	e.updateCall(h, q.Call, func(r *request) {
+		r.calling = nil
 		r.excluded = append(r.excluded, choice.ID)
 		r.failures++
 		again = r.failures <= maxFailures
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -26,6 +26,8 @@
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 )
 
 // Lanes of an entry's blocking calls.
@@ -103,7 +105,9 @@
 	queues   *table.Single[map[contract.RouteName]*routeQueue]
 	requests *table.Striped[contract.RequestID, *request]
 	board    *table.Single[*placement.Board]
+	suspects *table.Single[*quarantine.Table]
 	pollers  *table.Single[map[string]*poller]
+	retries  *table.Single[*retry.Budget]
 }
 
 // New starts an entry. It is not ready before it has a configuration. Close ends
@@ -137,7 +141,9 @@
 		queues:      table.NewSingle(table.RankQueue, make(map[contract.RouteName]*routeQueue)),
 		requests:    table.NewStriped[contract.RequestID, *request](table.RankRequests, table.DefaultStripes),
 		board:       table.NewSingle(table.RankBoard, o.Board),
+		suspects:    table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		pollers:     table.NewSingle(table.RankOutbox, make(map[string]*poller)),
+		retries:     table.NewSingle(table.RankStats, retry.NewBudget(retry.Options{})),
 	}
 	e.pool = pool.New(pool.Options{
 		Workers:    o.Workers,
@@ -195,7 +201,7 @@
 
 // header opens a message.
 func (e *Entry) header(h *table.Held) peer.Header {
-	return peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
+	return peer.Header{From: e.self, Revision: e.snapshot(h).Revision, Quarantine: e.notes(h)}
 }
 
 // snapshot gives the configuration in force.
--- a/instance/entry/place.go
+++ b/instance/entry/place.go
@@ -83,6 +83,7 @@
 		Fingerprint:  r.Fingerprint,
 		Blocks:       upstream.BlocksFor(tokens + r.Generate.MaxTokens),
 		ImportBlocks: upstream.BlocksFor(tokens),
+		Priority:     placement.DecodePriority(r.Route.Targets.BetweenTokens),
 	}
 }
 
@@ -90,11 +91,7 @@
 // there at the earliest.
 func (e *Entry) chooseDecode(h *table.Held, now time.Time, need placement.Need) (choices []placement.Choice, ready time.Duration) {
 	e.board.With(h, func(b **placement.Board) {
-		prefills := (*b).Prefill(now, need)
-		if len(prefills) == 0 {
-			return
-		}
-		ready = prefills[0].Estimate
+		ready, _ = (*b).PrefillIn(now, need)
 		choices = (*b).Decode(now, need)
 	})
 	return choices, ready
@@ -116,6 +113,7 @@
 	choice  *placement.Choice
 	reply   *peer.ReserveReply
 	loads   []upstream.Load
+	headers []peer.Header
 	failed  []upstream.ID
 	unclear []heldWork
 }
@@ -152,6 +150,7 @@
 		return false
 	}
 	result.loads = append(result.loads, reply.Load)
+	result.headers = append(result.headers, reply.Header)
 	if reply.Refusal != nil {
 		return false
 	}
@@ -164,6 +163,9 @@
 func (e *Entry) placed(result asked) pool.Step {
 	return func(h *table.Held) []pool.Effect {
 		e.observe(h, result.loads, result.failed)
+		for _, header := range result.headers {
+			e.heardNotes(h, header)
+		}
 		effects := e.releaseWork(h, result.unclear, true)
 		if result.choice == nil {
 			return append(effects, e.noRoom(h, result.call, result.route)...)
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -102,6 +102,7 @@
 // polled hands output to its requests and polls again while there are calls.
 func (e *Entry) polled(h *table.Held, addr string, reply *peer.PollReply) (effects []pool.Effect) {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
+	e.heardNotes(h, reply.Header)
 	for _, chunk := range reply.Chunks {
 		effects = append(effects, e.generated(h, chunk)...)
 	}
@@ -177,18 +178,27 @@
 // attempt, or one that came already, goes nowhere.
 func (e *Entry) generated(h *table.Held, chunk contract.Chunk) []pool.Effect {
 	now := e.clock.Now()
-	var failed upstream.ID
+	var from upstream.ID
+	var took time.Duration
 	done := false
 	e.updateCall(h, chunk.Call, func(r *request) {
-		if chunk.Failure != nil {
-			failed = r.decode.ID
+		if r.decode == nil {
 			return
 		}
-		done = r.accept(now, chunk)
+		from = r.decode.ID
+		if chunk.Failure == nil {
+			took = r.sinceSent(now)
+			done = r.accept(now, chunk)
+		}
 	})
-	if failed != "" {
-		e.observe(h, nil, []upstream.ID{failed})
-		return e.retry(h, chunk.Call, []upstream.ID{failed}, chunk.Failure)
+	switch {
+	case from == "":
+		return nil
+	case chunk.Failure != nil:
+		e.observe(h, nil, []upstream.ID{from})
+		return e.retry(h, chunk.Call, []upstream.ID{from}, chunk.Failure)
+	case took > 0:
+		e.succeeded(h, from, took)
 	}
 	if done {
 		return e.finish(h, chunk.Call.Request, nil)
@@ -196,6 +206,17 @@
 	return nil
 }
 
+// sinceSent gives how long the first answer to what was sent last took; 0 for
+// the answers after it.
+func (r *request) sinceSent(now time.Time) time.Duration {
+	if r.sent.IsZero() {
+		return 0
+	}
+	took := now.Sub(r.sent)
+	r.sent = time.Time{}
+	return took
+}
+
 // accept adds output for the caller and reports whether it is whole now.
 func (r *request) accept(now time.Time, chunk contract.Chunk) (done bool) {
 	if chunk.Offset > r.next {
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -51,6 +52,7 @@
 		Fingerprint: r.Fingerprint,
 		Prompt:      r.Generate.Prompt,
 		Tokens:      r.Generate.PromptTokens,
+		Priority:    placement.PrefillPriority(r.slack(now), r.Route.Targets.FirstToken),
 		Within:      r.Deadline.Sub(now),
 	}
 }
@@ -63,11 +65,14 @@
 	}
 	choice := run.choices[0]
 	run.choices = run.choices[1:]
-	found := e.updateCall(h, run.call, func(r *request) { r.prefill = &choice })
+	run.q.StartIn = placement.StartIn(run.window, choice.Estimate)
+	found := e.updateCall(h, run.call, func(r *request) {
+		r.prefill = &choice
+		r.sent = e.clock.Now().Add(run.q.StartIn)
+	})
 	if !found {
 		return nil
 	}
-	run.q.StartIn = max(run.window-choice.Estimate, 0)
 	effects := e.track(h, choice.Addr, run.call)
 	return append(effects, e.prefillAt(choice, run))
 }
@@ -104,13 +109,17 @@
 // prefilled goes on with a KV cache, or with the next choice after a refusal.
 func (e *Entry) prefilled(h *table.Held, choice placement.Choice, run prefillRun, reply *peer.PrefillReply) []pool.Effect {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
+	e.heardNotes(h, reply.Header)
 	e.untrack(h, choice.Addr, run.call)
 	if reply.Refusal != nil {
 		return e.prefillRefused(h, choice, run, reply.Refusal)
 	}
 	var q *peer.DecodeRequest
 	var decode placement.Choice
+	now := e.clock.Now()
 	e.updateCall(h, run.call, func(r *request) {
+		e.prefillAnswered(h, choice.ID, now.Sub(r.sent), run.q.Tokens)
+		r.sent = now
 		r.prefill = nil
 		r.handle = reply.Handle
 		r.prefillTokens += reply.Handle.Tokens
@@ -125,6 +134,13 @@
 	return []pool.Effect{e.decodeAt(decode, q)}
 }
 
+// prefillAnswered tells the board how long an engine takes for a thousand
+// tokens, so that engines compare whatever prompts they had.
+func (e *Entry) prefillAnswered(h *table.Held, id upstream.ID, took time.Duration, tokens contract.Tokens) {
+	const unit = 1000
+	e.succeeded(h, id, took*unit/time.Duration(max(tokens, unit)))
+}
+
 // prefillRefused tries the next choice. A prefill has no effect that lasts, so
 // one that may have run does not keep the request from running elsewhere.
 func (e *Entry) prefillRefused(h *table.Held, choice placement.Choice, run prefillRun, refusal *contract.Refusal) []pool.Effect {
@@ -176,6 +192,7 @@
 		return e.retry(h, call, []upstream.ID{choice.ID}, refusal)
 	}
 	e.observe(h, []upstream.Load{reply.Load}, nil)
+	e.heardNotes(h, reply.Header)
 	if reply.Refusal != nil {
 		return e.retry(h, call, nil, reply.Refusal)
 	}
@@ -192,12 +209,17 @@
 func (e *Entry) retry(h *table.Held, call contract.CallID, failed []upstream.ID, refusal *contract.Refusal) []pool.Effect {
 	var work []heldWork
 	again := false
+	var fp contract.Fingerprint
+	if !e.updateCall(h, call, func(r *request) { fp = r.Fingerprint }) {
+		return nil
+	}
+	stop := e.stopRetry(h, fp, refusal, true)
 	found := e.updateCall(h, call, func(r *request) {
 		if r.handle.ID != "" {
 			r.wastedTokens += r.handle.Tokens
 		}
 		r.failures++
-		if r.failures > maxFailures {
+		if r.failures > maxFailures || stop != nil {
 			return
 		}
 		again = true
@@ -211,7 +233,7 @@
 		return nil
 	}
 	if !again {
-		return e.finish(h, call.Request, refusal)
+		return e.finish(h, call.Request, cmp.Or(stop, refusal))
 	}
 	effects := e.releaseWork(h, work, true)
 	return append(effects, e.enqueue(h, call.Request)...)
--- a/instance/entry/queue.go
+++ b/instance/entry/queue.go
@@ -122,6 +122,13 @@
 	})
 }
 
+// roomFreed starts requests of a route as soon as one of them gave its place
+// back, without waiting for the next look at the queues.
+func (e *Entry) roomFreed(h *table.Held, route contract.RouteName) []pool.Effect {
+	e.withQueue(h, route, func(q *routeQueue) { q.holdUntil = time.Time{} })
+	return e.dispatch(h, route)
+}
+
 // sweepQueues refuses the requests that can no longer meet their target and
 // starts others.
 func (e *Entry) sweepQueues(h *table.Held) (effects []pool.Effect) {
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -44,7 +44,11 @@
 	// decode and prefill are where the current attempt has work.
 	decode  *placement.Choice
 	prefill *placement.Choice
-	handle  link.Handle
+	// calling is where the current attempt of a service call runs.
+	calling *placement.Choice
+	// sent is when the current attempt's work was last sent to an upstream.
+	sent   time.Time
+	handle link.Handle
 	// failures counts the attempts that failed at an upstream.
 	failures int
 	// excluded are upstreams that failed this request.
@@ -133,6 +137,8 @@
 	var ended Ended
 	var release []heldWork
 	var used, charged contract.Tokens
+	var fp contract.Fingerprint
+	freed := false
 	now := e.clock.Now()
 	found := e.update(h, id, func(r *request) {
 		release = r.heldWork()
@@ -140,6 +146,8 @@
 		r.refusal = refusal
 		used = r.used()
 		charged = r.charged
+		fp = r.Fingerprint
+		freed = r.decode != nil
 		ended = r.summary(now)
 		r.signal()
 	})
@@ -150,7 +158,14 @@
 	e.settle(h, id, ended.Account, charged, used)
 	e.recorder.Ended(now, ended)
 	e.logEnd(id, ended)
-	return e.releaseWork(h, release, refusal != nil)
+	if refusal == nil {
+		e.excuse(h, fp)
+	}
+	effects := e.releaseWork(h, release, refusal != nil)
+	if freed {
+		effects = append(effects, e.roomFreed(h, ended.Route.Name)...)
+	}
+	return effects
 }
 
 // remove takes an ended request out of the table.
@@ -226,5 +241,8 @@
 	if r.prefill != nil {
 		work = append(work, heldWork{r.prefill.Addr, r.call()})
 	}
+	if r.calling != nil {
+		work = append(work, heldWork{r.calling.Addr, r.call()})
+	}
 	return work
 }
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -48,6 +48,7 @@
 		return nil
 	}
 	e.insert(h, r)
+	e.firstAttempt(h)
 	answer(admission{request: r})
 	return e.charge(h, r)
 }
@@ -89,6 +90,9 @@
 		wake: make(chan struct{}, 1),
 	}
 	r.Fingerprint = fingerprint(r)
+	if refusal := e.quarantined(h, r.Fingerprint); refusal != nil {
+		return nil, refusal
+	}
 	return r, nil
 }
 
--- /dev/null
+++ b/instance/sidecar/crash.go
@@ -0,0 +1,147 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+)
+
+// suspectRetry is when a suspect that met another one may ask again.
+const suspectRetry = 100 * time.Millisecond
+
+// suspects is what the sidecar knows of crashes and of requests that cause them.
+type suspects struct {
+	table   *quarantine.Table
+	witness quarantine.Witness
+	// silent counts the looks in a row without an answer.
+	silent int
+}
+
+// saw takes in a look at the upstream and reports whether it shows a crash.
+func (x *suspects) saw(seen sight) (crashed bool) {
+	if seen.up {
+		x.silent = 0
+		return x.witness.Up(seen.epoch)
+	}
+	x.silent++
+	return x.silent >= maxSilent && x.witness.Silent()
+}
+
+// heard takes in what a message's header tells.
+func (s *Sidecar) heard(h *table.Held, header peer.Header) {
+	if len(header.Quarantine) == 0 {
+		return
+	}
+	now := s.clock.Now()
+	s.suspects.With(h, func(x *suspects) { x.table.Learn(now, header.Quarantine) })
+}
+
+// notes are the news about requests that crash upstreams.
+func (s *Sidecar) notes(h *table.Held) (notes []quarantine.Note) {
+	now := s.clock.Now()
+	s.suspects.With(h, func(x *suspects) { notes = x.table.Notes(now) })
+	return notes
+}
+
+// refuseSuspect refuses a request that crashes upstreams, and one that may do so
+// while another such is here.
+func (s *Sidecar) refuseSuspect(h *table.Held, fp contract.Fingerprint) (refusal *contract.Refusal) {
+	now := s.clock.Now()
+	alone := false
+	s.suspects.With(h, func(x *suspects) {
+		refusal = x.table.Check(now, fp)
+		alone = x.table.Alone(now, fp)
+	})
+	if refusal != nil || !alone {
+		return refusal
+	}
+	var running []engine.Ask
+	s.ledger.With(h, func(l **engine.Ledger) { running = (*l).Running() })
+	s.suspects.With(h, func(x *suspects) {
+		if x.table.Conflict(now, fp, fingerprints(running)) {
+			refusal = contract.RefuseRepeat(contract.CodeOverCapacity, suspectRetry, "another request that was present at a crash runs here")
+		}
+	})
+	return refusal
+}
+
+func fingerprints(asks []engine.Ask) []contract.Fingerprint {
+	list := make([]contract.Fingerprint, 0, len(asks))
+	for _, a := range asks {
+		list = append(list, a.Fingerprint)
+	}
+	return list
+}
+
+// started marks a call as sent to the upstream, right before it is.
+func (s *Sidecar) started(call contract.CallID) {
+	s.ledger.With(table.NewHeld(), func(l **engine.Ledger) { (*l).Start(s.clock.Now(), call) })
+}
+
+// finished excuses a call that ran to its end from crashes at which it was
+// present.
+func (s *Sidecar) finished(fp contract.Fingerprint) {
+	now := s.clock.Now()
+	s.suspects.With(table.NewHeld(), func(x *suspects) { x.table.Finished(now, fp) })
+}
+
+// broke is called from a link's goroutine when the upstream broke off a call. It
+// looks at the upstream before the call's failure is told, so that the entry
+// hears of the suspects before it tries them elsewhere.
+func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) {
+	if !errors.Is(err, link.ErrGone) && !errors.Is(err, link.ErrUnknownCall) {
+		return
+	}
+	h := table.NewHeld()
+	now := s.clock.Now()
+	s.suspects.With(h, func(x *suspects) { x.witness.Broke(now, fp) })
+	seen := s.look(ctx)
+	if !seen.up {
+		s.silentAfterBreak(h)
+		return
+	}
+	s.saw(h, seen)
+}
+
+// silentAfterBreak counts an upstream that broke off a call and does not answer
+// as down at once.
+func (s *Sidecar) silentAfterBreak(h *table.Held) {
+	crashed := false
+	s.suspects.With(h, func(x *suspects) {
+		x.silent = maxSilent
+		crashed = x.witness.Silent()
+	})
+	s.ledger.With(h, func(l **engine.Ledger) { (*l).SetDown(true) })
+	if crashed {
+		s.crashed(h)
+	}
+}
+
+// crashed holds the crash against all that ran, and ends what still waits for
+// the engine's answer.
+func (s *Sidecar) crashed(h *table.Held) {
+	var sent []engine.Ask
+	s.ledger.With(h, func(l **engine.Ledger) { sent = (*l).Sent() })
+	now := s.clock.Now()
+	var found []contract.Fingerprint
+	present := 0
+	s.suspects.With(h, func(x *suspects) {
+		all := x.witness.Suspects(now, fingerprints(sent))
+		present = len(all)
+		found = x.table.Crashed(now, s.id, all)
+	})
+	s.log.Error("upstream crashed", "upstream", s.id, "requests", present, "quarantined", len(found))
+	if s.engine == nil {
+		return
+	}
+	for _, a := range sent {
+		s.stop(h, a.Call)
+	}
+}
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -24,13 +24,14 @@
 // prefill accepts a prompt and starts it at its time.
 func (s *Sidecar) prefill(h *table.Held, q *peer.PrefillRequest, answer func(*peer.PrefillReply)) []pool.Effect {
 	refuse := func(h *table.Held, refusal *contract.Refusal) []pool.Effect {
-		answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		answer(&peer.PrefillReply{Header: s.header(h), Load: s.load(h), Refusal: refusal})
 		return nil
 	}
 	if s.engine == nil {
 		return refuse(h, contract.Refuse(contract.CodeNoUpstream, "no engine beside this sidecar"))
 	}
-	refusal := s.refuseNewWork()
+	s.heard(h, q.Header)
+	refusal := s.refuseNewWork(h, q.Fingerprint)
 	if refusal == nil {
 		s.ledger.With(h, func(l **engine.Ledger) {
 			refusal = (*l).AcceptPrefill(s.clock.Now(), engine.Ask{
@@ -65,7 +66,7 @@
 		return func(h *table.Held) []pool.Effect {
 			s.end(h, r)
 			s.release(h, q.Call)
-			answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Handle: handle, Refusal: refusal})
+			answer(&peer.PrefillReply{Header: s.header(h), Load: s.load(h), Handle: handle, Refusal: refusal})
 			return nil
 		}
 	}
@@ -73,6 +74,7 @@
 		ctx = s.attach(ctx, r)
 		ctx, cancel := context.WithTimeout(ctx, q.Within)
 		defer cancel()
+		s.started(q.Call)
 		handle, err := s.engine.Prefill(ctx, link.Prefill{
 			Call:      q.Call,
 			Model:     q.Model,
@@ -80,6 +82,7 @@
 			Priority:  q.Priority,
 			Pseudonym: q.Pseudonym,
 		})
+		s.broke(ctx, q.Fingerprint, err)
 		return finish(handle, s.prefillRefusal(q.Call, err))
 	}
 	return pool.Effect{
@@ -121,7 +124,7 @@
 func (s *Sidecar) Decode(ctx context.Context, q *peer.DecodeRequest) (*peer.DecodeReply, error) {
 	return ask(ctx, s, func(h *table.Held, answer func(*peer.DecodeReply)) []pool.Effect {
 		refusal, effects := s.decode(h, q)
-		answer(&peer.DecodeReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		answer(&peer.DecodeReply{Header: s.header(h), Load: s.load(h), Refusal: refusal})
 		return effects
 	})
 }
@@ -132,7 +135,11 @@
 		return contract.Refuse(contract.CodeNoUpstream, "no engine beside this sidecar"), nil
 	}
 	held := false
-	s.ledger.With(h, func(l **engine.Ledger) { held = (*l).Holds(s.clock.Now(), q.Call) })
+	var granted engine.Ask
+	s.ledger.With(h, func(l **engine.Ledger) {
+		held = (*l).Holds(s.clock.Now(), q.Call)
+		granted, _ = (*l).Ask(q.Call)
+	})
 	if !held {
 		return contract.RefuseRepeat(contract.CodeStaleGrant, 0, "the grant has run out"), nil
 	}
@@ -141,11 +148,11 @@
 		return contract.Refuse(contract.CodeStaleGrant, "the request already runs here"), nil
 	}
 	s.openStream(h, q.From, q.Call, q.Offset)
-	return nil, []pool.Effect{s.decodeAtEngine(q, r)}
+	return nil, []pool.Effect{s.decodeAtEngine(q, granted, r)}
 }
 
 // decodeAtEngine streams a call's output into the outbox of its entry.
-func (s *Sidecar) decodeAtEngine(q *peer.DecodeRequest, r *running) pool.Effect {
+func (s *Sidecar) decodeAtEngine(q *peer.DecodeRequest, granted engine.Ask, r *running) pool.Effect {
 	finish := func(refusal *contract.Refusal) pool.Step {
 		return func(h *table.Held) []pool.Effect {
 			s.end(h, r)
@@ -158,10 +165,13 @@
 	}
 	perform := func(ctx context.Context) pool.Step {
 		ctx = s.attach(ctx, r)
-		err := s.stream(ctx, q)
+		s.started(q.Call)
+		err := s.stream(ctx, q, granted.Priority)
 		if err == nil {
+			s.finished(granted.Fingerprint)
 			return finish(nil)
 		}
+		s.broke(ctx, granted.Fingerprint, err)
 		s.log.Warn("decode failed", "request", q.Call.Request, "attempt", q.Call.Attempt, "error", err)
 		return finish(decodeRefusal(err))
 	}
@@ -182,7 +192,7 @@
 
 // stream reads a call's output; a stream that breaks while the engine still
 // knows the call is resumed where it broke.
-func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest) error {
+func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int) error {
 	held := table.NewHeld()
 	next := q.Offset
 	done := false
@@ -200,6 +210,7 @@
 		Model:     q.Model,
 		Handle:    q.Handle,
 		MaxTokens: q.MaxTokens,
+		Priority:  priority,
 		Pseudonym: q.Pseudonym,
 		Seed:      q.Seed,
 		Offset:    q.Offset,
@@ -243,6 +254,14 @@
 	}
 }
 
+// orderRefusal is engineRefusal, with old fencing numbers told apart.
+func orderRefusal(err error) *contract.Refusal {
+	if errors.Is(err, link.ErrStaleFence) {
+		return contract.Refuse(contract.CodeStaleOrder, err.Error())
+	}
+	return engineRefusal(err)
+}
+
 // decodeRefusal is engineRefusal, with evicted KV caches told apart: the entry
 // then prefills again.
 func decodeRefusal(err error) *contract.Refusal {
--- a/instance/sidecar/output.go
+++ b/instance/sidecar/output.go
@@ -179,9 +179,10 @@
 		waitFor(ctx, first.wake, q.Wait)
 		first.chunks, _ = s.take(table.NewHeld(), q.From, q.Calls)
 	}
+	h := table.NewHeld()
 	return &peer.PollReply{
-		Header: s.header(),
-		Load:   s.load(table.NewHeld()),
+		Header: s.header(h),
+		Load:   s.load(h),
 		Chunks: first.chunks,
 		Lost:   first.lost,
 	}, nil
@@ -196,6 +197,7 @@
 
 // renewAndTake renews the leases of all calls named and takes their output.
 func (s *Sidecar) renewAndTake(h *table.Held, q *peer.PollRequest) (p polled) {
+	s.heard(h, q.Header)
 	calls := make([]contract.CallID, 0, len(q.Calls))
 	for _, ack := range q.Calls {
 		calls = append(calls, ack.Call)
--- a/instance/sidecar/reserve.go
+++ b/instance/sidecar/reserve.go
@@ -20,8 +20,9 @@
 }
 
 func (s *Sidecar) reserve(h *table.Held, q *peer.ReserveRequest) *peer.ReserveReply {
-	reply := &peer.ReserveReply{Header: s.header()}
-	reply.Refusal = s.refuseNewWork()
+	s.heard(h, q.Header)
+	reply := &peer.ReserveReply{Header: s.header(h)}
+	reply.Refusal = s.refuseNewWork(h, q.Fingerprint)
 	if reply.Refusal == nil {
 		var grant engine.Grant
 		s.ledger.With(h, func(l **engine.Ledger) {
@@ -43,10 +44,10 @@
 	return reply
 }
 
-// refuseNewWork says whether the process still takes work.
-func (s *Sidecar) refuseNewWork() *contract.Refusal {
+// refuseNewWork says whether the process still takes work, and this request.
+func (s *Sidecar) refuseNewWork(h *table.Held, fp contract.Fingerprint) *contract.Refusal {
 	if s.life.State() == instance.Serving {
-		return nil
+		return s.refuseSuspect(h, fp)
 	}
 	return contract.RefuseRepeat(contract.CodeDraining, 0, "the upstream takes no new work")
 }
@@ -58,20 +59,12 @@
 			s.closeStream(h, q.From.Name, call)
 		}
 		effects := s.abort(h, q.Calls)
-		answer(&peer.CancelReply{Header: s.header(), Load: s.load(h)})
+		answer(&peer.CancelReply{Header: s.header(h), Load: s.load(h)})
 		return effects
 	})
 }
 
-// Order implements peer.Sidecar.
-func (s *Sidecar) Order(context.Context, *peer.OrderRequest) (*peer.OrderReply, error) {
-	return &peer.OrderReply{
-		Header:  s.header(),
-		Refusal: contract.Refuse(contract.CodeNoUpstream, "orders are not taken here"),
-	}, nil
-}
-
 // Sync implements peer.Sidecar.
 func (s *Sidecar) Sync(context.Context, *peer.SyncRequest) (*peer.SyncReply, error) {
-	return &peer.SyncReply{Header: s.header()}, nil
+	return &peer.SyncReply{Header: s.header(table.NewHeld())}, nil
 }
--- a/instance/sidecar/service.go
+++ b/instance/sidecar/service.go
@@ -25,13 +25,14 @@
 // sent is checked again right before it is.
 func (s *Sidecar) serve(h *table.Held, q *peer.ServiceRequest, received time.Time, answer func(*peer.ServiceReply)) []pool.Effect {
 	reply := func(h *table.Held, a contract.ServiceAnswer, refusal *contract.Refusal) {
-		answer(&peer.ServiceReply{Header: s.header(), Load: s.load(h), Answer: a, Refusal: refusal})
+		answer(&peer.ServiceReply{Header: s.header(h), Load: s.load(h), Answer: a, Refusal: refusal})
 	}
 	if s.service == nil {
 		reply(h, contract.ServiceAnswer{}, contract.Refuse(contract.CodeNoUpstream, "no service beside this sidecar"))
 		return nil
 	}
-	refusal := s.refuseNewWork()
+	s.heard(h, q.Header)
+	refusal := s.refuseNewWork(h, q.Fingerprint)
 	if refusal == nil {
 		s.ledger.With(h, func(l **engine.Ledger) {
 			_, refusal = (*l).Reserve(s.clock.Now(), engine.Ask{Call: q.Call, Owner: q.From, Fingerprint: q.Fingerprint})
@@ -61,7 +62,12 @@
 		ctx = s.attach(ctx, r)
 		ctx, cancel := context.WithTimeout(ctx, q.Within)
 		defer cancel()
+		s.started(q.Call)
 		a, err := s.service.Call(ctx, q.Call, q.Pseudonym, q.Service)
+		if err == nil {
+			s.finished(q.Fingerprint)
+		}
+		s.broke(ctx, q.Fingerprint, err)
 		return finish(a, serviceRefusal(err))
 	}
 	return []pool.Effect{{
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -19,6 +19,8 @@
 	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/orders"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 )
 
 // Lanes of a sidecar's blocking calls.
@@ -51,6 +53,8 @@
 	// Engine is set beside engines, Service beside plain services.
 	Engine  link.Engine
 	Service link.Service
+	// Fences reads fencing numbers; nil means that only the engine knows them.
+	Fences  FenceSource
 	Workers int
 	Clock   clock.Clock
 	Log     hclog.Logger
@@ -66,10 +70,13 @@
 	pool    *pool.Pool
 	engine  link.Engine
 	service link.Service
+	fences  FenceSource
 
-	ledger *table.Single[*engine.Ledger]
-	calls  *table.Striped[contract.RequestID, *running]
-	output *table.Striped[instance.Name, *outbox]
+	suspects *table.Single[suspects]
+	ledger   *table.Single[*engine.Ledger]
+	calls    *table.Striped[contract.RequestID, *running]
+	orders   *table.Single[*orders.Gate]
+	output   *table.Striped[instance.Name, *outbox]
 }
 
 // New starts a sidecar. Close ends it.
@@ -87,9 +94,14 @@
 		log:     o.Log,
 		engine:  o.Engine,
 		service: o.Service,
-		ledger:  table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
-		calls:   table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
-		output:  table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
+		fences:  o.Fences,
+		suspects: table.NewSingle(table.RankQuarantine, suspects{
+			table: quarantine.New(quarantine.Options{}),
+		}),
+		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
+		ledger: table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
+		calls:  table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
+		output: table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
 		Workers: o.Workers,
@@ -100,6 +112,7 @@
 		},
 	})
 	s.pool.After(SweepEvery, s.sweep)
+	s.pool.Resume(s.watchUpstream)
 	s.life.Advance(instance.Serving)
 	return s
 }
@@ -126,8 +139,8 @@
 }
 
 // header opens a reply.
-func (s *Sidecar) header() peer.Header {
-	return peer.Header{From: s.self}
+func (s *Sidecar) header(h *table.Held) peer.Header {
+	return peer.Header{From: s.self, Quarantine: s.notes(h)}
 }
 
 // load reads what the upstream can take.
--- /dev/null
+++ b/instance/sidecar/watch.go
@@ -0,0 +1,100 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Times of looking at the upstream.
+const (
+	// WatchEvery is the time between two looks.
+	WatchEvery = 500 * time.Millisecond
+	// WatchTimeout bounds one look.
+	WatchTimeout = 400 * time.Millisecond
+	// maxSilent looks in a row without an answer mean that the upstream is down.
+	maxSilent = 3
+)
+
+// laneWatch carries the looks at the upstream.
+const laneWatch pool.Lane = "watch"
+
+// sight is what one look at the upstream showed.
+type sight struct {
+	up    bool
+	epoch int64
+	// load is set for engines.
+	load *link.EngineLoad
+}
+
+// watchUpstream looks at the upstream from time to time.
+func (s *Sidecar) watchUpstream(*table.Held) []pool.Effect {
+	s.pool.After(WatchEvery, s.watchUpstream)
+	look := func(ctx context.Context) pool.Step {
+		seen := s.look(ctx)
+		return func(h *table.Held) []pool.Effect {
+			s.saw(h, seen)
+			return nil
+		}
+	}
+	return []pool.Effect{{Lane: laneWatch, Perform: look}}
+}
+
+// look asks the upstream whether it is there.
+func (s *Sidecar) look(ctx context.Context) sight {
+	ctx, cancel := context.WithTimeout(ctx, WatchTimeout)
+	defer cancel()
+	if s.engine == nil {
+		return sight{up: s.service == nil || s.service.Healthy(ctx) == nil}
+	}
+	// The load report lags, so the epoch is taken from the state.
+	state, err := s.engine.State(ctx)
+	if err != nil {
+		return sight{}
+	}
+	seen := sight{up: true, epoch: state.Epoch}
+	if load, err := s.engine.Load(ctx); err == nil {
+		seen.load = &load
+	}
+	return seen
+}
+
+// saw takes in what a look showed.
+func (s *Sidecar) saw(h *table.Held, seen sight) {
+	crashed := false
+	down := false
+	s.suspects.With(h, func(x *suspects) {
+		crashed = x.saw(seen)
+		down = x.witness.Down()
+	})
+	s.ledger.With(h, func(l **engine.Ledger) {
+		(*l).SetDown(down)
+		if seen.load != nil {
+			(*l).SetLimits(limitsOf((*l).Limits(), seen.load))
+		}
+	})
+	if crashed {
+		s.crashed(h)
+	}
+}
+
+// limitsOf takes over what an engine reports of itself; a zero says nothing.
+func limitsOf(limits engine.Limits, load *link.EngineLoad) engine.Limits {
+	replace(&limits.Role, load.Role)
+	replace(&limits.Slots, load.Slots)
+	replace(&limits.Blocks, load.Blocks)
+	replace(&limits.PrefillPerSecond, load.PrefillPerSecond)
+	replace(&limits.LinkBlocksPerSecond, load.LinkBlocksPerSecond)
+	return limits
+}
+
+func replace[T comparable](value *T, reported T) {
+	var none T
+	if reported != none {
+		*value = reported
+	}
+}
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -101,6 +101,11 @@
 	l.link.SetRate(limits.LinkBlocksPerSecond)
 }
 
+// Limits gives the limits for new work.
+func (l *Ledger) Limits() Limits {
+	return l.limits
+}
+
 // SetLeaving says whether the upstream takes no more new work.
 func (l *Ledger) SetLeaving(leaving bool) {
 	l.leaving = leaving
