--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -27,6 +27,8 @@
 	"github.com/trefoilwalk/trefoilwalk/link/peer/heard"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -125,7 +127,9 @@
 	queues   *table.Single[map[contract.RouteName]*routeQueue]
 	requests *table.Striped[contract.RequestID, *request]
 	board    *table.Single[*placement.Board]
+	suspects *table.Single[*quarantine.Table]
 	pollers  *table.Single[map[string]*poller]
+	retries  *table.Single[*retry.Budget]
 }
 
 // New starts an entry. It is not ready before it has a configuration. Close ends
@@ -162,7 +166,9 @@
 		queues:      table.NewSingle(table.RankQueue, make(map[contract.RouteName]*routeQueue)),
 		requests:    table.NewStriped[contract.RequestID, *request](table.RankRequests, table.DefaultStripes),
 		board:       table.NewSingle(table.RankBoard, o.Board),
+		suspects:    table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		pollers:     table.NewSingle(table.RankOutbox, make(map[string]*poller)),
+		retries:     table.NewSingle(table.RankStats, retry.NewBudget(retry.Options{})),
 	}
 	e.peers = heard.Peers{Dialer: o.Peers, Node: e}
 	e.pool = pool.New(pool.Options{
@@ -227,6 +233,7 @@
 func (e *Entry) header(h *table.Held) peer.Header {
 	header := peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
 	header.ZonesHeard = e.zonesHeard(h)
+	header.Quarantine = e.notes(h)
 	return header
 }
 
--- a/instance/sidecar/configuration.go
+++ b/instance/sidecar/configuration.go
@@ -16,7 +16,7 @@
 func (s *Sidecar) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
 	return ask(ctx, s, func(h *table.Held, answer func(*peer.SyncReply)) []pool.Effect {
 		s.install(h, q)
-		reply := &peer.SyncReply{Header: s.header()}
+		reply := &peer.SyncReply{Header: s.header(h)}
 		s.config.With(h, func(spread **config.Spread) {
 			out := (*spread).Answer(q.Revision)
 			reply.Snapshot = out.Snapshot
