Never say 'not sent' of a call that was sent

Cause: net/rpc gives ErrShutdown to calls that it refused to send, and also to calls that were sent and still ran when the connection was closed on this side while the peer went away. Both were turned into ErrNotSent, upon which a call that may not be repeated would be sent to another upstream. Ruled out: trusting the error alone; it is the same value. Change: a connection remembers that it was closed here; ErrShutdown after that means that nothing is known.

--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
@@ -39,6 +40,16 @@
 	opened chan struct{}
 	client *rpc.Client
 	err    error
+	// closed is set before the connection is closed here.
+	closed atomic.Bool
+}
+
+// close closes the connection; its running calls fail.
+func (c *conn) close() {
+	c.closed.Store(true)
+	if c.client != nil {
+		_ = c.client.Close()
+	}
 }
 
 // NewDials returns an empty set of connections.
@@ -55,9 +66,7 @@
 	d.mu.Unlock()
 	for _, c := range conns {
 		<-c.opened
-		if c.client != nil {
-			_ = c.client.Close()
-		}
+		c.close()
 	}
 }
 
@@ -83,8 +92,10 @@
 		return nil
 	case errors.As(call.Error, &refused):
 		return fail(peer.ErrRefused, call.Error)
-	case errors.Is(call.Error, rpc.ErrShutdown):
+	case errors.Is(call.Error, rpc.ErrShutdown) && !c.closed.Load():
 		// The connection had broken before this call, so nothing was written.
+		// Once it was closed here, net/rpc says the same of calls that were
+		// sent, so nothing is known of them.
 		d.forget(addr, c)
 		return fail(peer.ErrNotSent, call.Error)
 	default:
@@ -132,7 +143,5 @@
 	if d.conns[addr] == c {
 		delete(d.conns, addr)
 	}
-	if c.client != nil {
-		_ = c.client.Close()
-	}
+	c.close()
 }
--- /dev/null
+++ b/link/peer/rpc/rpc_test.go
@@ -0,0 +1,176 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+)
+
+// fakeEntry answers heartbeats after what the test says.
+type fakeEntry struct {
+	peer.Entry
+	begun chan struct{}
+	reply func(ctx context.Context) (*peer.HeartbeatReply, error)
+}
+
+func (f *fakeEntry) Heartbeat(ctx context.Context, _ *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
+	f.begun <- struct{}{}
+	return f.reply(ctx)
+}
+
+// eofConn reads io.EOF once it was closed here, as a connection does whose other
+// end goes away at the same moment.
+type eofConn struct {
+	net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *eofConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
+func (c *eofConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestErrors checks what each failure says of a call: an error other than
+// ErrNotSent may never be said of a call that the peer did not get, and ErrNotSent
+// never of one that it got.
+func TestErrors(t *testing.T) {
+	hang := func(ctx context.Context) (*peer.HeartbeatReply, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	good := func(context.Context) (*peer.HeartbeatReply, error) {
+		return &peer.HeartbeatReply{Header: peer.Header{Revision: 7}}, nil
+	}
+	cases := []struct {
+		name  string
+		reply func(ctx context.Context) (*peer.HeartbeatReply, error)
+		// during runs while the peer works on the call.
+		during func(r *testRig)
+		want   error
+	}{
+		{"answered", good, nil, nil},
+		{"peer answers with an error", func(context.Context) (*peer.HeartbeatReply, error) { return nil, errors.New("no") }, nil, peer.ErrRefused},
+		{"peer goes away", hang, func(r *testRig) { r.server.Close() }, peer.ErrNoAnswer},
+		{"caller gives up", hang, func(r *testRig) { r.cancel() }, peer.ErrNoAnswer},
+		{"connection is closed here as the peer goes away", hang, func(r *testRig) { r.dials.Close() }, peer.ErrNoAnswer},
+		{"another call finds the connection broken", hang, func(r *testRig) {
+			c, err := r.dials.connect(r.ctx, r.addr)
+			if err != nil {
+				panic(err)
+			}
+			r.dials.forget(r.addr, c)
+		}, peer.ErrNoAnswer},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestRig(t, c.reply)
+			result := make(chan error, 1)
+			go func() {
+				_, err := r.dials.Entry(r.addr).Heartbeat(r.ctx, &peer.HeartbeatRequest{})
+				result <- err
+			}()
+			<-r.entry.begun
+			if c.during != nil {
+				c.during(r)
+			}
+			if err := <-result; !errors.Is(err, c.want) {
+				t.Errorf("got %v, want %v", err, c.want)
+			}
+		})
+	}
+}
+
+// TestNotSent checks calls that never reach a peer, and that a connection that
+// broke is opened again.
+func TestNotSent(t *testing.T) {
+	r := newTestRig(t, func(context.Context) (*peer.HeartbeatReply, error) {
+		return &peer.HeartbeatReply{Header: peer.Header{Revision: 7}}, nil
+	})
+	r.entry.begun = make(chan struct{}, 10)
+	call := func() (contract.Revision, error) {
+		reply, err := r.dials.Entry(r.addr).Heartbeat(r.ctx, &peer.HeartbeatRequest{})
+		if err != nil {
+			return 0, err
+		}
+		return reply.Revision, nil
+	}
+	if got, err := call(); err != nil || got != 7 {
+		t.Fatalf("first call: %d, %v", got, err)
+	}
+	r.server.Close()
+	_ = r.listener.Close()
+	for err := error(nil); !errors.Is(err, peer.ErrNotSent); {
+		if _, err = call(); err == nil {
+			t.Fatal("a closed peer answered")
+		}
+	}
+	r.listen(t)
+	for range 2 {
+		// The first may meet the connection that was refused.
+		if got, err := call(); err == nil && got == 7 {
+			return
+		}
+	}
+	t.Error("the peer was not reached again")
+}
+
+// testRig is one peer and the connections to it.
+type testRig struct {
+	entry    *fakeEntry
+	server   *Server
+	listener net.Listener
+	addr     string
+	dials    *Dials
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+func newTestRig(t *testing.T, reply func(ctx context.Context) (*peer.HeartbeatReply, error)) *testRig {
+	t.Helper()
+	r := &testRig{entry: &fakeEntry{begun: make(chan struct{}, 1), reply: reply}}
+	r.addr = "127.0.0.1:0"
+	r.listen(t)
+	r.ctx, r.cancel = context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(r.cancel)
+	r.dials = NewDials(func(ctx context.Context, addr string) (net.Conn, error) {
+		raw, err := PlainDialer(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &eofConn{Conn: raw, closed: make(chan struct{})}, nil
+	})
+	t.Cleanup(r.dials.Close)
+	return r
+}
+
+func (r *testRig) listen(t *testing.T) {
+	t.Helper()
+	l, err := net.Listen("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = l.Addr().String()
+	r.listener = l
+	r.server, err = NewServer(r.entry, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go r.server.Serve(l)
+	t.Cleanup(func() { _ = l.Close(); r.server.Close() })
+}
