Rates: an entry is ready as a member, and what is owed expires as one

An entry alone in the first layout was ready for the others too, which asked it for every token: cutting its zone off stopped the accounts for a minute. Others are ready once they are members, or after 5 s when the table is down. An entry that knows no other waits longer before it writes the first layout.

--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -30,6 +30,8 @@
 	askSeq   uint64
 	outbox   map[instance.Name]*Message
 	leaving  bool
+	// started is when readiness was first asked for.
+	started time.Time
 	// spread means that the others are still to be sent the layout.
 	spread bool
 }
@@ -125,10 +127,14 @@
 	return a
 }
 
-// Ready implements Planner.
+// Ready implements Planner. An entry that could not become a member, since the
+// table is down, serves with what it gets from peers.
 func (e *Escrow) Ready(now time.Time) bool {
-	member := contains(e.tenure.layout.Members, e.self)
-	return e.holds(now) || (!member && e.tenure.layout.Epoch > 0 && len(e.alive) > 0)
+	if e.started.IsZero() {
+		e.started = now
+	}
+	guest := e.tenure.layout.Epoch > 0 && len(e.alive) > 0 && now.Sub(e.started) > joinFor
+	return e.holds(now) || (guest && !contains(e.tenure.layout.Members, e.self))
 }
 
 // Propose implements Planner.
@@ -144,6 +150,9 @@
 	wait := time.Duration(0)
 	if layout.Epoch == 0 {
 		wait = firstAfter
+		if len(members) == 1 {
+			wait = aloneAfter
+		}
 	}
 	rank := slices.IndexFunc(members, func(i instance.Identity) bool { return same(i, e.self) })
 	if rank < 0 || now.Sub(e.differs) < wait+time.Duration(rank)*proposeStep {
@@ -169,6 +178,11 @@
 	// firstAfter is how long the members must stay the same before the first
 	// layout: those in it start with a full burst.
 	firstAfter = time.Second
+	// aloneAfter is the same for an entry that knows no other: while only it
+	// grants promises, its loss stops the accounts for DefaultLostFor.
+	aloneAfter = 2500 * time.Millisecond
+	// joinFor is how long an entry waits to become a member.
+	joinFor = 5 * time.Second
 	// longAgo is when the members of the first layout could have filled up.
 	longAgo = 24 * time.Hour
 	// proposeStep is by how much each next entry waits longer to propose.
@@ -217,8 +231,11 @@
 		a.hand.tokens -= float64(used - charged)
 		return
 	}
+	e.credit(now, a)
+	if a.owed == 0 {
+		a.owedUntil = now.Add(owedFor)
+	}
 	a.owed += float64(charged - used)
-	a.owedUntil = now.Add(owedFor)
 	e.credit(now, a)
 }
 
