--- a/instance/entry/place.go
+++ b/instance/entry/place.go
@@ -100,7 +100,8 @@
 // noRoom puts a request back into its queue.
 func (e *Entry) noRoom(h *table.Held, call contract.CallID, route contract.RouteName) []pool.Effect {
 	e.reservingDone(h, route, true)
-	if !e.updateCall(h, call, func(*request) {}) {
+	// Upstreams that failed this request are better than none.
+	if !e.updateCall(h, call, func(r *request) { r.excluded = nil }) {
 		return nil
 	}
 	return e.enqueue(h, call.Request)
@@ -113,7 +114,6 @@
 	choice  *placement.Choice
 	reply   *peer.ReserveReply
 	loads   []upstream.Load
-	headers []peer.Header
 	failed  []upstream.ID
 	unclear []heldWork
 }
@@ -150,7 +150,6 @@
 		return false
 	}
 	result.loads = append(result.loads, reply.Load)
-	result.headers = append(result.headers, reply.Header)
 	if reply.Refusal != nil {
 		return false
 	}
@@ -163,9 +162,6 @@
 func (e *Entry) placed(result asked) pool.Step {
 	return func(h *table.Held) []pool.Effect {
 		e.observe(h, result.loads, result.failed)
-		for _, header := range result.headers {
-			e.heardNotes(h, header)
-		}
 		effects := e.releaseWork(h, result.unclear, true)
 		if result.choice == nil {
 			return append(effects, e.noRoom(h, result.call, result.route)...)
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -100,6 +100,9 @@
 	sent := !errors.Is(err, peer.ErrNotSent)
 	effects := e.releaseWork(h, []heldWork{{choice.Addr, run.call}}, sent)
 	e.updateCall(h, run.call, func(r *request) {
+		if sent {
+			r.reached = contract.RanUnknown
+		}
 		r.prefill = nil
 		r.excluded = append(r.excluded, choice.ID)
 	})
@@ -109,7 +112,6 @@
 // prefilled goes on with a KV cache, or with the next choice after a refusal.
 func (e *Entry) prefilled(h *table.Held, choice placement.Choice, run prefillRun, reply *peer.PrefillReply) []pool.Effect {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
-	e.heardNotes(h, reply.Header)
 	e.untrack(h, choice.Addr, run.call)
 	if reply.Refusal != nil {
 		return e.prefillRefused(h, choice, run, reply.Refusal)
@@ -122,6 +124,7 @@
 		r.sent = now
 		r.prefill = nil
 		r.handle = reply.Handle
+		r.reached = contract.RanYes
 		r.prefillTokens += reply.Handle.Tokens
 		r.state = stateStarting
 		decode = *r.decode
@@ -152,6 +155,7 @@
 		e.observe(h, nil, []upstream.ID{choice.ID})
 	}
 	e.updateCall(h, run.call, func(r *request) {
+		r.reached = max(r.reached, refusal.Ran)
 		r.prefill = nil
 		r.excluded = append(r.excluded, choice.ID)
 	})
@@ -192,7 +196,6 @@
 		return e.retry(h, call, []upstream.ID{choice.ID}, refusal)
 	}
 	e.observe(h, []upstream.Load{reply.Load}, nil)
-	e.heardNotes(h, reply.Header)
 	if reply.Refusal != nil {
 		return e.retry(h, call, nil, reply.Refusal)
 	}
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -49,6 +49,8 @@
 	// sent is when the current attempt's work was last sent to an upstream.
 	sent   time.Time
 	handle link.Handle
+	// reached says whether any attempt ran at an upstream.
+	reached contract.Ran
 	// failures counts the attempts that failed at an upstream.
 	failures int
 	// excluded are upstreams that failed this request.
@@ -141,6 +143,7 @@
 	freed := false
 	now := e.clock.Now()
 	found := e.update(h, id, func(r *request) {
+		refusal = r.truthful(refusal)
 		release = r.heldWork()
 		r.state = stateEnded
 		r.refusal = refusal
@@ -168,6 +171,16 @@
 	return effects
 }
 
+// truthful makes a refusal say that the request ran if an earlier attempt did.
+func (r *request) truthful(refusal *contract.Refusal) *contract.Refusal {
+	if refusal == nil || refusal.Ran != contract.RanNo || r.reached == contract.RanNo {
+		return refusal
+	}
+	said := *refusal
+	said.Ran = r.reached
+	return &said
+}
+
 // remove takes an ended request out of the table.
 func (e *Entry) remove(h *table.Held, id contract.RequestID) {
 	e.requests.With(h, id, func(rows map[contract.RequestID]*request) {
--- a/instance/entry/suspects.go
+++ b/instance/entry/suspects.go
@@ -12,13 +12,13 @@
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 )
 
-// heardNotes takes in what a reply tells of requests that crash upstreams.
-func (e *Entry) heardNotes(h *table.Held, header peer.Header) {
-	if len(header.Quarantine) == 0 {
+// heardNotes takes in what a message tells of requests that crash upstreams.
+func (e *Entry) heardNotes(h *table.Held, head *peer.Header) {
+	if len(head.Quarantine) == 0 {
 		return
 	}
 	now := e.clock.Now()
-	e.suspects.With(h, func(q **quarantine.Table) { (*q).Learn(now, header.Quarantine) })
+	e.suspects.With(h, func(q **quarantine.Table) { (*q).Learn(now, head.Quarantine) })
 }
 
 // notes are the news about requests that crash upstreams.
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -6,11 +6,13 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -72,9 +74,13 @@
 	service link.Service
 	fences  FenceSource
 
+	config *table.Single[*config.Spread]
+	// revision repeats the one in force, so that headers need no lock.
+	revision atomic.Uint64
+
 	suspects *table.Single[suspects]
 	ledger   *table.Single[*engine.Ledger]
-	calls    *table.Striped[contract.RequestID, *running]
+	calls    *table.Striped[callKey, *running]
 	orders   *table.Single[*orders.Gate]
 	output   *table.Striped[instance.Name, *outbox]
 }
@@ -95,12 +101,13 @@
 		engine:  o.Engine,
 		service: o.Service,
 		fences:  o.Fences,
+		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		suspects: table.NewSingle(table.RankQuarantine, suspects{
 			table: quarantine.New(quarantine.Options{}),
 		}),
-		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
 		ledger: table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
-		calls:  table.NewStriped[contract.RequestID, *running](table.RankCalls, table.DefaultStripes),
+		calls:  table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
+		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
 		output: table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
@@ -139,8 +146,8 @@
 }
 
 // header opens a reply.
-func (s *Sidecar) header(h *table.Held) peer.Header {
-	return peer.Header{From: s.self, Quarantine: s.notes(h)}
+func (s *Sidecar) header() peer.Header {
+	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(table.NewHeld())}
 }
 
 // load reads what the upstream can take.
--- /dev/null
+++ b/internal/process/sidecar.go
@@ -0,0 +1,140 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/sidecar"
+	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
+	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
+	"github.com/trefoilwalk/trefoilwalk/link/upstream/engineapi"
+	"github.com/trefoilwalk/trefoilwalk/link/upstream/serviceapi"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// Sidecar is a running sidecar with its listeners.
+type Sidecar struct {
+	// PeerAddr and OperatorAddr are where it listens.
+	PeerAddr, OperatorAddr string
+
+	core     *sidecar.Sidecar
+	log      hclog.Logger
+	drain    settings.Drain
+	operator *http.Server
+	peers    *rpc.Server
+	peerConn net.Listener
+}
+
+// StartSidecar starts a sidecar.
+func StartSidecar(s settings.Sidecar, o Options) (*Sidecar, error) {
+	o.setDefaults()
+	p, err := newSidecar(s, o)
+	if err != nil {
+		return nil, fmt.Errorf("sidecar: %w", err)
+	}
+	return p, nil
+}
+
+func newSidecar(s settings.Sidecar, o Options) (*Sidecar, error) {
+	options, err := sidecarOptions(s, o)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := operatorsOf(s.Operators)
+	if err != nil {
+		return nil, err
+	}
+	opened, err := openAll(o.Network, s.Peer, s.Operator)
+	if err != nil {
+		return nil, err
+	}
+	p := &Sidecar{log: o.Log, drain: s.Drain, core: sidecar.New(options)}
+	return p, p.serve(opened[0], opened[1], operators)
+}
+
+// sidecarOptions are the options of the decisions.
+func sidecarOptions(s settings.Sidecar, o Options) (sidecar.Options, error) {
+	options := sidecar.Options{
+		Self:     identityOf(s.Where),
+		Upstream: upstream.ID(s.Upstream.ID),
+		Limits:   limitsOf(s),
+		Workers:  s.Workers,
+		Log:      o.Log,
+	}
+	if s.Upstream.Kind == settings.KindEngine {
+		options.Engine = engineapi.New(s.Upstream.URL, o.Network.Transport())
+		return options, nil
+	}
+	service, err := serviceapi.New(s.Upstream.URL, nil)
+	if err != nil {
+		return sidecar.Options{}, err
+	}
+	options.Service = service
+	return options, nil
+}
+
+// limitsOf gives what the upstream can take.
+func limitsOf(s settings.Sidecar) engine.Limits {
+	u := s.Upstream
+	return engine.Limits{
+		Role:                u.UpstreamRole(),
+		Slots:               u.Slots,
+		Blocks:              u.Blocks,
+		LinkBlocksPerSecond: u.LinkBlocksPerSecond,
+		PrefillPerSecond:    contract.Tokens(u.PrefillPerSecond),
+		MaxQueuedTokens:     contract.Tokens(u.MaxQueuedTokens),
+		Lease:               s.Leases.Grant.Duration,
+		MaxWindowWait:       s.Leases.MaxWindowWait.Duration,
+	}
+}
+
+// serve answers on the listeners.
+func (p *Sidecar) serve(peer, operator net.Listener, operators []api.Operator) error {
+	peers, err := rpc.NewServer(nil, p.core)
+	if err != nil {
+		return err
+	}
+	p.peers = peers
+	p.peerConn = peer
+	p.PeerAddr = peer.Addr().String()
+	go p.peers.Serve(peer)
+
+	p.OperatorAddr = operator.Addr().String()
+	p.operator = api.NewServer(api.Options{Operators: operators, Ready: p.ready, Log: p.log})
+	go serve(p.operator, operator, p.log)
+	return nil
+}
+
+// ready says whether the sidecar takes new work.
+func (p *Sidecar) ready() (ok bool, reason string) {
+	state := p.core.State()
+	return state == instance.Serving, state.String()
+}
+
+// Shutdown ends the sidecar gracefully: no new work, and the running calls
+// finish within the drain limit.
+func (p *Sidecar) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.drain.Limit.Duration)
+	defer cancel()
+	err := p.core.Drain(ctx)
+	err = errors.Join(err, p.operator.Shutdown(ctx))
+	p.Kill()
+	return err
+}
+
+// Kill ends the sidecar at once, as a crash would.
+func (p *Sidecar) Kill() {
+	_ = p.operator.Close()
+	_ = p.peerConn.Close()
+	p.peers.Close()
+	p.core.Close()
+}
--- a/link/peer/header.go
+++ b/link/peer/header.go
@@ -26,6 +26,17 @@
 	ZonesHeard []ZoneNews
 }
 
+// Head gives the header of the message that it opens.
+func (h *Header) Head() *Header {
+	return h
+}
+
+// Message is any message or reply.
+type Message interface {
+	// Head gives the message's header.
+	Head() *Header
+}
+
 // ZoneNews says how long ago an availability zone was heard from.
 type ZoneNews struct {
 	Zone string
