--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -103,7 +103,6 @@
 func (e *Entry) polled(h *table.Held, addr string, reply *peer.PollReply) (effects []pool.Effect) {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
 	useful := false
-	e.heardNotes(h, reply.Header)
 	for _, chunk := range reply.Chunks {
 		more, current := e.generated(h, chunk)
 		effects = append(effects, more...)
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -112,7 +112,6 @@
 // prefilled goes on with a KV cache, or with the next choice after a refusal.
 func (e *Entry) prefilled(h *table.Held, choice placement.Choice, run prefillRun, reply *peer.PrefillReply) []pool.Effect {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
-	e.heardNotes(h, reply.Header)
 	e.untrack(h, choice.Addr, run.call)
 	if reply.Refusal != nil {
 		return e.prefillRefused(h, choice, run, reply.Refusal)
@@ -197,7 +196,6 @@
 		return e.retry(h, call, []upstream.ID{choice.ID}, refusal)
 	}
 	e.observe(h, []upstream.Load{reply.Load}, nil)
-	e.heardNotes(h, reply.Header)
 	if reply.Refusal != nil {
 		return e.retry(h, call, nil, reply.Refusal)
 	}
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -100,14 +100,14 @@
 		log:     o.Log,
 		engine:  o.Engine,
 		service: o.Service,
-		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		fences:  o.Fences,
+		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		suspects: table.NewSingle(table.RankQuarantine, suspects{
 			table: quarantine.New(quarantine.Options{}),
 		}),
-		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
 		ledger: table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
 		calls:  table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
+		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
 		output: table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
@@ -146,8 +146,8 @@
 }
 
 // header opens a reply.
-func (s *Sidecar) header(h *table.Held) peer.Header {
-	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(h)}
+func (s *Sidecar) header() peer.Header {
+	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(table.NewHeld())}
 }
 
 // load reads what the upstream can take.
