--- a/contract/claim/claim.go
+++ b/contract/claim/claim.go
@@ -10,7 +10,6 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -41,8 +40,8 @@
 func hashOf(parts ...string) [sha256.Size]byte {
 	digest := sha256.New()
 	for _, part := range parts {
-		_ = binary.Write(digest, binary.BigEndian, uint64(len(part)))
-		_, _ = digest.Write([]byte(part))
+		sum := sha256.Sum256([]byte(part))
+		_, _ = digest.Write(sum[:])
 	}
 	return [sha256.Size]byte(digest.Sum(nil))
 }
