--- /dev/null
+++ b/internal/process/examples_test.go
@@ -0,0 +1,31 @@
+package process
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
+)
+
+// TestExamples checks every example settings file as --check does.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.toml")
+	if err != nil || len(files) < 14 {
+		t.Fatalf("%d example files, %v", len(files), err)
+	}
+	for _, file := range files {
+		name := filepath.Base(file)
+		switch {
+		case strings.HasPrefix(name, "entry"):
+			_, err = settings.LoadEntry(file)
+		case strings.HasPrefix(name, "sidecar"):
+			_, err = settings.LoadSidecar(file)
+		default:
+			err = nil
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
