--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -30,12 +30,10 @@
 	askSeq   uint64
 	outbox   map[instance.Name]*Message
 	leaving  bool
+	// started is when readiness was first asked for.
+	started time.Time
 	// spread means that the others are still to be sent the layout.
 	spread bool
-	// refunds numbers the refunds sent; refunded is the highest number taken
-	// from each peer.
-	refunds  uint64
-	refunded map[instance.Identity]uint64
 }
 
 // NewEscrow returns an entry's part. It grants nothing before it has a layout,
@@ -55,7 +53,6 @@
 		alive:    make(map[instance.Name]instance.Incarnation),
 		accounts: make(map[contract.AccountID]*account),
 		outbox:   make(map[instance.Name]*Message),
-		refunded: make(map[instance.Identity]uint64),
 	}
 }
 
@@ -102,6 +99,10 @@
 	}
 	e.tenure.adopt(now, next)
 	s := span{from: from, members: next.Members}
+	if next.Epoch == 1 {
+		// Nobody spent anything before the first layout.
+		s.from = now.Add(-longAgo)
+	}
 	if !e.tenure.closed {
 		s.before = next.Before
 		// While the promises of the epoch before last, nobody has taken over.
@@ -126,6 +127,16 @@
 	return a
 }
 
+// Ready implements Planner. An entry that could not become a member, since the
+// table is down, serves with what it gets from peers.
+func (e *Escrow) Ready(now time.Time) bool {
+	if e.started.IsZero() {
+		e.started = now
+	}
+	guest := e.tenure.layout.Epoch > 0 && len(e.alive) > 0 && now.Sub(e.started) > joinFor
+	return e.holds(now) || (guest && !contains(e.tenure.layout.Members, e.self))
+}
+
 // Propose implements Planner.
 func (e *Escrow) Propose(now time.Time) (next *Layout, ok bool) {
 	members := e.wanted(now)
@@ -136,8 +147,15 @@
 	if e.leaving || !e.tenure.closed || len(members) == 0 || sameMembers(members, layout.Members) {
 		return nil, false
 	}
+	wait := time.Duration(0)
+	if layout.Epoch == 0 {
+		wait = firstAfter
+		if len(members) == 1 {
+			wait = aloneAfter
+		}
+	}
 	rank := slices.IndexFunc(members, func(i instance.Identity) bool { return same(i, e.self) })
-	if rank < 0 || now.Sub(e.differs) < time.Duration(rank)*proposeStep {
+	if rank < 0 || now.Sub(e.differs) < wait+time.Duration(rank)*proposeStep {
 		return nil, false
 	}
 	return layout.next(members), true
@@ -157,6 +175,16 @@
 const (
 	// silentAfter is when a grantor gives up a member that renews no promises.
 	silentAfter = Lease + RenewEvery
+	// firstAfter is how long the members must stay the same before the first
+	// layout: those in it start with a full burst.
+	firstAfter = time.Second
+	// aloneAfter is the same for an entry that knows no other: while only it
+	// grants promises, its loss stops the accounts for DefaultLostFor.
+	aloneAfter = 2500 * time.Millisecond
+	// joinFor is how long an entry waits to become a member.
+	joinFor = 5 * time.Second
+	// longAgo is when the members of the first layout could have filled up.
+	longAgo = 24 * time.Hour
 	// proposeStep is by how much each next entry waits longer to propose.
 	proposeStep = 600 * time.Millisecond
 )
@@ -172,30 +200,18 @@
 	a.typical += (float64(cost) - a.typical) / typicalOver
 	if len(a.tickets) == 0 && e.spendable(now, a) >= float64(cost) {
 		a.spend(now, float64(cost))
-		return Verdict{State: Granted, Out: e.flush(now)}
-	}
-	a.tickets = append(a.tickets, ticket{
-		id: id, cost: float64(cost), arrived: now, deadline: now.Add(max(patience, minPatience)),
-	})
-	var result Result
-	e.progress(now, a, &result)
-	return e.verdict(now, id, result)
-}
-
-// verdict turns what came of a new ticket into the answer. Others of the account
-// can't have been decided, since nothing came in.
-func (e *Escrow) verdict(now time.Time, id contract.RequestID, result Result) Verdict {
-	out := e.flush(now)
-	for _, d := range result.Decided {
-		switch {
-		case d.Ticket != id:
-		case d.Granted:
-			return Verdict{State: Granted, Out: out}
-		default:
-			return Verdict{State: Refused, After: d.After, Out: out}
-		}
-	}
-	return Verdict{State: Waiting, Out: out}
+		e.credit(now, a)
+		return Verdict{State: Granted}
+	}
+	t := ticket{id: id, cost: float64(cost), arrived: now, deadline: now.Add(max(patience, minPatience))}
+	peers := e.peers(a)
+	after := e.outlook(now, a, peers, a.waitingCost()+t.cost)
+	if now.Add(after).After(t.deadline) && e.fresh(now, a, peers) {
+		return Verdict{State: Refused, After: max(after, TickEvery)}
+	}
+	a.tickets = append(a.tickets, t)
+	e.gather(now, a, peers, false)
+	return Verdict{State: Waiting, Out: e.flush(now)}
 }
 
 // Abandon implements Policy.
@@ -215,19 +231,22 @@
 		a.hand.tokens -= float64(used - charged)
 		return
 	}
+	e.credit(now, a)
+	if a.owed == 0 {
+		a.owedUntil = now.Add(owedFor)
+	}
 	a.owed += float64(charged - used)
-	a.owedUntil = now.Add(owedFor)
 	e.credit(now, a)
 }
 
 // credit puts what is owed into hand, as far as there is room.
 func (e *Escrow) credit(now time.Time, a *account) {
-	if a.owed > 0 && e.holds(now) {
-		a.owed = a.hand.give(a.owed, e.limit(now, a)-a.totalReserved())
-	}
 	if !now.Before(a.owedUntil) {
 		a.owed = 0
 	}
+	if a.owed > 0 && e.holds(now) {
+		a.owed = a.hand.give(a.owed, e.limit(now, a)-a.totalReserved())
+	}
 }
 
 // Tick implements Policy.
@@ -260,7 +279,7 @@
 	e.accrue(now, a)
 	e.returnLots(now, a)
 	a.expire(now)
-	e.progress(now, a, result)
+	e.progress(now, a, true, result)
 	e.credit(now, a)
 	e.passOn(now, a)
 	e.level(now, a)
@@ -312,12 +331,12 @@
 // accrue brings hand up to now, or to the end of the promises.
 func (e *Escrow) accrue(now time.Time, a *account) {
 	until := earlier(now, e.tenure.heldUntil())
-	e.history.accrue(&a.hand, until, e.self, a.id, e.limits[a.id].Rate, a.totalReserved())
+	e.history.accrue(a, until, e.self, e.limits[a.id].Rate)
 }
 
 // limit is the most that hand may hold, reservations aside.
 func (e *Escrow) limit(now time.Time, a *account) float64 {
-	return e.history.at(now).share(e.self, a.id) * float64(e.limits[a.id].Rate.Burst)
+	return a.share(e.history.at(now), e.self) * float64(e.limits[a.id].Rate.Burst)
 }
 
 // holds reports whether this entry may spend what is in hand.
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -27,6 +27,8 @@
 	"github.com/trefoilwalk/trefoilwalk/link/peer/heard"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -41,6 +43,7 @@
 	lanePlatform pool.Lane = "platform"
 	laneSpread   pool.Lane = "spread"
 	laneQuery    pool.Lane = "query"
+	laneRates    pool.Lane = "rates"
 )
 
 // Peers opens the calls of other processes.
@@ -62,6 +65,9 @@
 	Self instance.Identity
 	// Addr is the host:port of the peer listener, told to other entries.
 	Addr string
+	// Seeds are the peer listeners of some other entries, asked while no other
+	// entry is known, so that a restart needs no platform.
+	Seeds []string
 	// Zones are the fleet's availability zones, as far as the settings name
 	// them; others are learned.
 	Zones []zone.AvailabilityZone
@@ -79,6 +85,9 @@
 	NewQueue func() fair.Queue
 	Peers    Peers
 	Config   ConfigSource
+	// Layouts keeps the layout of rates; nil means that there is none, which
+	// only a policy that needs no layout can do with.
+	Layouts LayoutStore
 	// Instances is the lagging list; nil means that there is none.
 	Instances platform.Instances
 	Recorder  Recorder
@@ -99,6 +108,7 @@
 	maxRequests int64
 	peers       Peers
 	source      ConfigSource
+	layouts     LayoutStore
 	instances   platform.Instances
 	recorder    Recorder
 	clock       clock.Clock
@@ -117,7 +127,9 @@
 	queues   *table.Single[map[contract.RouteName]*routeQueue]
 	requests *table.Striped[contract.RequestID, *request]
 	board    *table.Single[*placement.Board]
+	suspects *table.Single[*quarantine.Table]
 	pollers  *table.Single[map[string]*poller]
+	retries  *table.Single[*retry.Budget]
 }
 
 // New starts an entry. It is not ready before it has a configuration. Close ends
@@ -142,6 +154,7 @@
 		secret:      o.Secret,
 		maxRequests: int64(o.MaxRequests),
 		source:      o.Config,
+		layouts:     o.Layouts,
 		instances:   o.Instances,
 		recorder:    o.Recorder,
 		clock:       o.Clock,
@@ -153,7 +166,9 @@
 		queues:      table.NewSingle(table.RankQueue, make(map[contract.RouteName]*routeQueue)),
 		requests:    table.NewStriped[contract.RequestID, *request](table.RankRequests, table.DefaultStripes),
 		board:       table.NewSingle(table.RankBoard, o.Board),
+		suspects:    table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		pollers:     table.NewSingle(table.RankOutbox, make(map[string]*poller)),
+		retries:     table.NewSingle(table.RankStats, retry.NewBudget(retry.Options{})),
 	}
 	e.peers = heard.Peers{Dialer: o.Peers, Node: e}
 	e.pool = pool.New(pool.Options{
@@ -171,7 +186,7 @@
 
 // lanes bounds the calls to peers and to the platform.
 func lanes(requests int) map[pool.Lane]int {
-	const polls, platformCalls, spreadCalls, queryCalls = 1024, 16, 64, 128
+	const polls, platformCalls, spreadCalls, queryCalls, rateCalls = 1024, 16, 64, 128, 256
 	return map[pool.Lane]int{
 		laneReserve:  maxReserving * 2,
 		lanePrefill:  requests,
@@ -182,6 +197,7 @@
 		lanePlatform: platformCalls,
 		laneSpread:   spreadCalls,
 		laneQuery:    queryCalls,
+		laneRates:    rateCalls,
 	}
 }
 
@@ -200,6 +216,7 @@
 // ends.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.life.Advance(instance.Draining)
+	e.pool.Resume(e.handBackRates)
 	ticker := time.NewTicker(TickEvery)
 	defer ticker.Stop()
 	for e.running.Load() > 0 {
@@ -216,6 +233,7 @@
 func (e *Entry) header(h *table.Held) peer.Header {
 	header := peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
 	header.ZonesHeard = e.zonesHeard(h)
+	header.Quarantine = e.notes(h)
 	return header
 }
 
