Keep asking a witness that is only out of reach, and check each send's claim

Cause: a new check of the walk, that whatever a witness sends holds the row's claim at that time, found that an unreachable witness was taken for one that has forgotten: the row became "unknown" while the attempt could still run.

Change: only a witness that says it has forgotten counts towards "unknown".

--- a/contract/claim/machine.go
+++ b/contract/claim/machine.go
@@ -74,6 +74,8 @@
 	sent bool
 	// others says that another request with the same key held the claim.
 	others bool
+	// reread says that the row is looked at next, not the witness.
+	reread bool
 	// left says that the caller has got its refusal.
 	left bool
 	// replays counts claims that were written once more.
@@ -165,6 +167,7 @@
 
 func (m *Machine) read() Action {
 	m.phase = phaseRead
+	m.reread = false
 	return Action{Do: DoRead}
 }
 
@@ -182,7 +185,7 @@
 	if m.phase != phasePause {
 		return Action{}
 	}
-	if m.about.call.Request == "" || m.forgotten > 0 {
+	if m.about.call.Request == "" || m.reread {
 		return m.read()
 	}
 	return m.ask(m.about)
@@ -200,7 +203,6 @@
 		return Action{}
 	}
 	if m.others || m.sent {
-		m.forgotten = 0
 		return m.pause()
 	}
 	m.reads++
@@ -343,6 +345,7 @@
 	if m.forgotten >= maxForgotten {
 		return m.over(m.unknown(Duty{DutyUnknown, m.about.call}))
 	}
+	m.reread = true
 	return m.pause()
 }
 
@@ -356,7 +359,7 @@
 	}
 	if m.about.call != m.call {
 		// The row may have been settled without the witness.
-		m.forgotten = max(m.forgotten, 1)
+		m.reread = true
 	}
 	return m.pause()
 }
--- a/contract/claim/walk_test.go
+++ b/contract/claim/walk_test.go
@@ -279,6 +279,9 @@
 		k.visit(w)
 		return
 	}
+	if w.row.state != StateClaimed || w.row.call != c {
+		k.problem = fmt.Sprintf("sent without a claim: %+v", w)
+	}
 	k.visit(w)
 	w.ran[c] = true
 	k.visit(w)
