--- a/instance/sidecar/output.go
+++ b/instance/sidecar/output.go
@@ -104,12 +104,22 @@
 			st.named = true
 			st.acknowledge(ack.Next)
 		}
-		box.dropDelivered(current)
+		box.dropReleased(current)
+		box.calm()
 		chunks = box.waiting()
 	})
 	return chunks, wake
 }
 
+// calm takes back a wake-up whose output is taken now: it would end the next
+// poll with nothing.
+func (b *outbox) calm() {
+	select {
+	case <-b.wake:
+	default:
+	}
+}
+
 // waiting gives all output of the entry's calls, also of those that the poll
 // does not name because they were started while it was on its way.
 func (b *outbox) waiting() (chunks []contract.Chunk) {
@@ -119,11 +129,11 @@
 	return chunks
 }
 
-// dropDelivered drops finished streams that polls named before and name no
-// more: their entry has all of them.
-func (b *outbox) dropDelivered(current map[contract.CallID]bool) {
+// dropReleased drops streams that polls named before and name no more: their
+// entry has all of them, or has given the call up.
+func (b *outbox) dropReleased(current map[contract.CallID]bool) {
 	for call, st := range b.streams {
-		if st.named && !st.finished.IsZero() && !current[call] {
+		if st.named && !current[call] {
 			delete(b.streams, call)
 		}
 	}
@@ -179,9 +189,10 @@
 		waitFor(ctx, first.wake, q.Wait)
 		first.chunks, _ = s.take(table.NewHeld(), q.From, q.Calls)
 	}
+	h := table.NewHeld()
 	return &peer.PollReply{
-		Header: s.header(),
-		Load:   s.load(table.NewHeld()),
+		Header: s.header(h),
+		Load:   s.load(h),
 		Chunks: first.chunks,
 		Lost:   first.lost,
 	}, nil
@@ -196,6 +207,7 @@
 
 // renewAndTake renews the leases of all calls named and takes their output.
 func (s *Sidecar) renewAndTake(h *table.Held, q *peer.PollRequest) (p polled) {
+	s.heard(h, q.Header)
 	calls := make([]contract.CallID, 0, len(q.Calls))
 	for _, ack := range q.Calls {
 		calls = append(calls, ack.Call)
--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -4,7 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
+	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
 // Entry is the settings of an entry.
@@ -18,6 +20,9 @@
 	Peer     Listener `toml:"peer"`
 	Operator Listener `toml:"operator"`
 	Platform Platform `toml:"platform"`
+	// PseudonymSecret makes the names by which upstreams know client accounts;
+	// the same at all entries, 16 characters or more, required.
+	PseudonymSecret string `toml:"pseudonym_secret"`
 	// Peers are the peer listeners of some other entries, to start from;
 	// default none.
 	Peers []string `toml:"peers"`
@@ -65,7 +70,7 @@
 
 // Rates says how an account's rate is kept across the entries.
 type Rates struct {
-	// Policy is "escrow" or "split"; default "escrow".
+	// Policy is "escrow", "fixed-split" or "single-owner"; default "escrow".
 	Policy string `toml:"policy"`
 	// Promise is the lease of a promise between two entries; default 2s.
 	Promise Duration `toml:"promise"`
@@ -73,12 +78,6 @@
 	Heartbeat Duration `toml:"heartbeat"`
 }
 
-// Policies of rates.
-const (
-	RatesEscrow = "escrow"
-	RatesSplit  = "split"
-)
-
 // Placement says how upstreams are chosen.
 type Placement struct {
 	// Policy is "reserve", "least-loaded" or "random-of-two"; default
@@ -97,12 +96,11 @@
 
 // Trust says when an entry may serve keyed routes from the configuration it has.
 type Trust struct {
-	// Rule is "store", "zones" or "any"; default "zones": the store was read,
-	// or more than half of the availability zones were heard from, within
-	// Within.
+	// Rule is "majority", "store-only" or "always"; default "majority": the
+	// store was read, or more than half of the availability zones were heard
+	// from, within the last seconds. docs/OPERATIONS.md says what each lets
+	// through.
 	Rule string `toml:"rule"`
-	// Within is how old the news may be; default 5s.
-	Within Duration `toml:"within"`
 }
 
 // Claims bounds requests on routes that may not be repeated.
@@ -121,14 +119,17 @@
 		Platform:  defaultPlatform(),
 		Workers:   defaultWorkers,
 		Limits:    defaultCallerLimits(),
-		Rates:     Rates{Policy: RatesEscrow, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
+		Rates:     Rates{Policy: rate.DefaultPolicy, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
 		Placement: Placement{Policy: PlacementReserve, Watch: 16},
-		Trust:     Trust{Rule: "zones", Within: of(5 * time.Second)},
+		Trust:     Trust{Rule: zone.DefaultTrustRule.String()},
 		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
 		Drain:     defaultDrain(),
 	}
 }
 
+// leastSecret is the least length of PseudonymSecret.
+const leastSecret = 16
+
 // defaultRunning is the default of CallerLimits.Running.
 const defaultRunning = 2048
 
@@ -172,6 +173,9 @@
 	s.Peer.checkPeer(c, "peer")
 	s.Operator.check(c, "operator")
 	s.Platform.check(c)
+	if len(s.PseudonymSecret) < leastSecret {
+		c.add("pseudonym_secret", "must have at least %d characters", leastSecret)
+	}
 	c.addrs("peers", s.Peers)
 	between(c, "workers", s.Workers, 1, mostWorkers)
 	s.Limits.check(c)
@@ -194,15 +198,14 @@
 func (s *Entry) checkPolicies(c *checker) {
 	c.oneOf("placement.policy", s.Placement.Policy, PlacementReserve, PlacementLeastLoaded, PlacementRandomOfTwo)
 	between(c, "placement.watch", s.Placement.Watch, 1, 1000)
-	c.oneOf("trust.rule", s.Trust.Rule, "store", "zones", "any")
-	c.duration("trust.within", s.Trust.Within, 500*time.Millisecond, time.Hour)
+	c.oneOf("trust.rule", s.Trust.Rule, zone.Majority.String(), zone.StoreOnly.String(), zone.Always.String())
 	c.duration("claims.keep", s.Claims.Keep, time.Minute, 90*24*time.Hour)
 	c.duration("claims.sweep_every", s.Claims.SweepEvery, 100*time.Millisecond, time.Hour)
 	between(c, "claims.sweep_batch", s.Claims.SweepBatch, 1, 500)
 }
 
 func (r *Rates) check(c *checker) {
-	c.oneOf("rates.policy", r.Policy, RatesEscrow, RatesSplit)
+	c.oneOf("rates.policy", r.Policy, rate.PolicyEscrow, rate.PolicyFixedSplit, rate.PolicySingleOwner)
 	c.duration("rates.promise", r.Promise, 100*time.Millisecond, time.Minute)
 	c.duration("rates.heartbeat", r.Heartbeat, 10*time.Millisecond, time.Minute)
 	if 2*r.Heartbeat.Duration > r.Promise.Duration {
--- a/link/settings/settings_test.go
+++ b/link/settings/settings_test.go
@@ -16,6 +16,7 @@
 zone = "rajkot-a"
 zones = ["rajkot-a", "morbi"]
 peers = ["127.0.0.1:7102"]
+pseudonym_secret = "0123456789abcdef"
 [caller]
 listen = "127.0.0.1:8080"
 plain_text = true
@@ -32,7 +33,7 @@
 body_timeout = "250ms"
 [[operators]]
 name = "ann"
-role = "administrator"
+role = "write"
 key_sha256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 `
 
@@ -70,11 +71,12 @@
 		{"entry_listener_undecided", "listen = \"127.0.0.1:8080\"\nplain_text = true", `listen = "127.0.0.1:8080"`},
 		{"entry_listener_both", `listen = "127.0.0.1:8080"`, "listen = \"127.0.0.1:8080\"\ntls_cert = \"a.pem\""},
 		{"entry_certificate_absent", "listen = \"127.0.0.1:8080\"\nplain_text = true", "listen = \"127.0.0.1:8080\"\ntls_cert = \"a.pem\"\ntls_key = \"a.key\""},
-		{"entry_operator_role", `"administrator"`, `"king"`},
+		{"entry_operator_role", `"write"`, `"king"`},
 		{"entry_operator_key_in_clear", `"e3b0c4`, `"secret`},
 		{"entry_syntax", `region = "saurashtra"`, `region = saurashtra`},
 		{"entry_wrong_type", `region = "saurashtra"`, `region = 5`},
 		{"entry_promise_short", "[limits]", "[rates]\npromise = \"400ms\"\n[limits]"},
+		{"entry_secret_short", `"0123456789abcdef"`, `"0123"`},
 		{"entry_many", goodEntry, "workers = 0\n[platform]\nurl = \"ftp://x\"\n[trust]\nrule = \"none\"\n[peer]\nlisten=\"x\"\ntls_cert=\"c\"\ntls_key=\"k\"\n"},
 		{"sidecar_good", "", ""},
 		{"sidecar_role_of_service", `"engine"`, `"service"`},
