--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -30,6 +30,8 @@
 	askSeq   uint64
 	outbox   map[instance.Name]*Message
 	leaving  bool
+	// started is when readiness was first asked for.
+	started time.Time
 	// spread means that the others are still to be sent the layout.
 	spread bool
 }
@@ -97,6 +99,10 @@
 	}
 	e.tenure.adopt(now, next)
 	s := span{from: from, members: next.Members}
+	if next.Epoch == 1 {
+		// Nobody spent anything before the first layout.
+		s.from = now.Add(-longAgo)
+	}
 	if !e.tenure.closed {
 		s.before = next.Before
 		// While the promises of the epoch before last, nobody has taken over.
@@ -121,6 +127,16 @@
 	return a
 }
 
+// Ready implements Planner. An entry that could not become a member, since the
+// table is down, serves with what it gets from peers.
+func (e *Escrow) Ready(now time.Time) bool {
+	if e.started.IsZero() {
+		e.started = now
+	}
+	guest := e.tenure.layout.Epoch > 0 && len(e.alive) > 0 && now.Sub(e.started) > joinFor
+	return e.holds(now) || (guest && !contains(e.tenure.layout.Members, e.self))
+}
+
 // Propose implements Planner.
 func (e *Escrow) Propose(now time.Time) (next *Layout, ok bool) {
 	members := e.wanted(now)
@@ -131,8 +147,15 @@
 	if e.leaving || !e.tenure.closed || len(members) == 0 || sameMembers(members, layout.Members) {
 		return nil, false
 	}
+	wait := time.Duration(0)
+	if layout.Epoch == 0 {
+		wait = firstAfter
+		if len(members) == 1 {
+			wait = aloneAfter
+		}
+	}
 	rank := slices.IndexFunc(members, func(i instance.Identity) bool { return same(i, e.self) })
-	if rank < 0 || now.Sub(e.differs) < time.Duration(rank)*proposeStep {
+	if rank < 0 || now.Sub(e.differs) < wait+time.Duration(rank)*proposeStep {
 		return nil, false
 	}
 	return layout.next(members), true
@@ -152,6 +175,16 @@
 const (
 	// silentAfter is when a grantor gives up a member that renews no promises.
 	silentAfter = Lease + RenewEvery
+	// firstAfter is how long the members must stay the same before the first
+	// layout: those in it start with a full burst.
+	firstAfter = time.Second
+	// aloneAfter is the same for an entry that knows no other: while only it
+	// grants promises, its loss stops the accounts for DefaultLostFor.
+	aloneAfter = 2500 * time.Millisecond
+	// joinFor is how long an entry waits to become a member.
+	joinFor = 5 * time.Second
+	// longAgo is when the members of the first layout could have filled up.
+	longAgo = 24 * time.Hour
 	// proposeStep is by how much each next entry waits longer to propose.
 	proposeStep = 600 * time.Millisecond
 )
@@ -198,19 +231,22 @@
 		a.hand.tokens -= float64(used - charged)
 		return
 	}
+	e.credit(now, a)
+	if a.owed == 0 {
+		a.owedUntil = now.Add(owedFor)
+	}
 	a.owed += float64(charged - used)
-	a.owedUntil = now.Add(owedFor)
 	e.credit(now, a)
 }
 
 // credit puts what is owed into hand, as far as there is room.
 func (e *Escrow) credit(now time.Time, a *account) {
-	if a.owed > 0 && e.holds(now) {
-		a.owed = a.hand.give(a.owed, e.limit(now, a)-a.totalReserved())
-	}
 	if !now.Before(a.owedUntil) {
 		a.owed = 0
 	}
+	if a.owed > 0 && e.holds(now) {
+		a.owed = a.hand.give(a.owed, e.limit(now, a)-a.totalReserved())
+	}
 }
 
 // Tick implements Policy.
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -24,7 +24,7 @@
 // prefill accepts a prompt and starts it at its time.
 func (s *Sidecar) prefill(h *table.Held, q *peer.PrefillRequest, answer func(*peer.PrefillReply)) []pool.Effect {
 	refuse := func(h *table.Held, refusal *contract.Refusal) []pool.Effect {
-		answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		answer(&peer.PrefillReply{Header: s.header(h), Load: s.load(h), Refusal: refusal})
 		return nil
 	}
 	if s.engine == nil {
@@ -66,7 +66,7 @@
 		return func(h *table.Held) []pool.Effect {
 			s.end(h, r)
 			s.release(h, q.Call)
-			answer(&peer.PrefillReply{Header: s.header(), Load: s.load(h), Handle: handle, Refusal: refusal})
+			answer(&peer.PrefillReply{Header: s.header(h), Load: s.load(h), Handle: handle, Refusal: refusal})
 			return nil
 		}
 	}
@@ -124,7 +124,7 @@
 func (s *Sidecar) Decode(ctx context.Context, q *peer.DecodeRequest) (*peer.DecodeReply, error) {
 	return ask(ctx, s, func(h *table.Held, answer func(*peer.DecodeReply)) []pool.Effect {
 		refusal, effects := s.decode(h, q)
-		answer(&peer.DecodeReply{Header: s.header(), Load: s.load(h), Refusal: refusal})
+		answer(&peer.DecodeReply{Header: s.header(h), Load: s.load(h), Refusal: refusal})
 		return effects
 	})
 }
