Send a KV cache that still exists elsewhere; baselines prefill first

Cause: a stalled import held its request until the caller's timeout, and every failure after a prefill paid for another one; the baselines reserved decode memory like the policy they are compared with. Change: the sidecar ends an import that takes three times its due; the entry keeps a KV cache that nobody imported while engines keep it and asks for a place elsewhere (transfer.Decide); under the baselines the prompt runs before a place is asked for. The latest start in the queue allows for the time to the first token. Ruled out: ending a request whose target is missed but not its deadline, since its caller still wants the whole answer.

--- a/instance/entry/place.go
+++ b/instance/entry/place.go
@@ -29,9 +29,11 @@
 	var q peer.ReserveRequest
 	var need placement.Need
 	var route contract.RouteName
+	ready := false
 	found := e.update(h, id, func(r *request) {
 		r.state = stateReserving
 		r.attempt++
+		ready = r.usableHandle(now)
 		route = r.Route.Name
 		need = r.need(now)
 		q = r.reserveRequest()
@@ -39,12 +41,17 @@
 	if !found {
 		return nil
 	}
-	choices, ready := e.chooseDecode(h, now, need)
+	if !ready && !e.reservesFirst(h) {
+		return e.prefillFirst(h, q.Call, route)
+	}
+	if !ready {
+		q.ReadyIn = e.prefillIn(h, need)
+	}
+	choices := e.chooseDecode(h, now, need)
 	if len(choices) == 0 {
 		return e.noRoom(h, q.Call, route)
 	}
 	q.Header = e.header(h)
-	q.ReadyIn = ready
 	return []pool.Effect{e.askForPlace(choices, q, route)}
 }
 
@@ -87,14 +94,10 @@
 	}
 }
 
-// chooseDecode gives the decode upstreams to ask and when the KV cache could be
-// there at the earliest.
-func (e *Entry) chooseDecode(h *table.Held, now time.Time, need placement.Need) (choices []placement.Choice, ready time.Duration) {
-	e.board.With(h, func(b **placement.Board) {
-		ready, _ = (*b).PrefillIn(now, need)
-		choices = (*b).Decode(now, need)
-	})
-	return choices, ready
+// chooseDecode gives the decode upstreams to ask.
+func (e *Entry) chooseDecode(h *table.Held, now time.Time, need placement.Need) (choices []placement.Choice) {
+	e.board.With(h, func(b **placement.Board) { choices = (*b).Decode(now, need) })
+	return choices
 }
 
 // noRoom puts a request back into its queue.
@@ -167,9 +170,14 @@
 			return append(effects, e.noRoom(h, result.call, result.route)...)
 		}
 		e.reservingDone(h, result.route, false)
+		var start *peer.DecodeRequest
+		now := e.clock.Now()
 		kept := e.updateCall(h, result.call, func(r *request) {
 			r.decode = result.choice
 			r.state = statePrefilling
+			if r.handle.ID != "" {
+				start = r.startDecode(now)
+			}
 		})
 		if !kept {
 			// The caller left while its place was asked for.
@@ -177,7 +185,12 @@
 			return append(effects, e.releaseWork(h, work, true)...)
 		}
 		effects = append(effects, e.track(h, result.choice.Addr, result.call)...)
-		effects = append(effects, e.startPrefill(h, result.call, result.reply.WindowIn)...)
+		if start != nil {
+			start.Header = e.header(h)
+			effects = append(effects, e.decodeAt(*result.choice, start))
+		} else {
+			effects = append(effects, e.startPrefill(h, result.call, result.reply.WindowIn)...)
+		}
 		return append(effects, e.dispatch(h, result.route)...)
 	}
 }
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -247,6 +247,7 @@
 		return false
 	}
 	r.state = stateDecoding
+	r.imported = true
 	r.next += contract.Tokens(len(chunk.Texts))
 	r.time(now)
 	if chunk.Done {
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -10,7 +10,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
-	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/link/transfer"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 )
@@ -31,7 +31,9 @@
 	var need placement.Need
 	found := e.updateCall(h, call, func(r *request) {
 		need = r.need(now)
-		need.Near = r.decode.Place
+		if r.decode != nil {
+			need.Near = r.decode.Place
+		}
 		run.q = r.prefillRequest(now)
 	})
 	if !found {
@@ -119,24 +121,37 @@
 	var q *peer.DecodeRequest
 	var decode placement.Choice
 	now := e.clock.Now()
-	e.updateCall(h, run.call, func(r *request) {
+	placed := true
+	found := e.updateCall(h, run.call, func(r *request) {
 		e.prefillAnswered(h, choice.ID, now.Sub(r.sent), run.q.Tokens)
-		r.sent = now
 		r.prefill = nil
 		r.handle = reply.Handle
+		r.handleAt = now
 		r.reached = contract.RanYes
 		r.prefillTokens += reply.Handle.Tokens
-		r.state = stateStarting
-		decode = *r.decode
-		q = r.decodeRequest()
+		placed = r.decode != nil
+		if placed {
+			decode = *r.decode
+			q = r.startDecode(now)
+		}
 	})
-	if q == nil {
+	switch {
+	case !found:
 		return nil
+	case !placed:
+		return e.enqueue(h, run.call.Request)
 	}
 	q.Header = e.header(h)
 	return []pool.Effect{e.decodeAt(decode, q)}
 }
 
+// startDecode notes that output is about to start.
+func (r *request) startDecode(now time.Time) *peer.DecodeRequest {
+	r.state = stateStarting
+	r.sent = now
+	return r.decodeRequest()
+}
+
 // prefillAnswered tells the board how long an engine takes for a thousand
 // tokens, so that engines compare whatever prompts they had.
 func (e *Entry) prefillAnswered(h *table.Held, id upstream.ID, took time.Duration, tokens contract.Tokens) {
@@ -213,13 +228,20 @@
 	var work []heldWork
 	again := false
 	var fp contract.Fingerprint
-	if !e.updateCall(h, call, func(r *request) { fp = r.Fingerprint }) {
+	var need placement.Need
+	now := e.clock.Now()
+	found := e.updateCall(h, call, func(r *request) {
+		fp = r.Fingerprint
+		need = r.need(now)
+	})
+	if !found {
 		return nil
 	}
 	stop := e.stopRetry(h, fp, refusal, true)
-	found := e.updateCall(h, call, func(r *request) {
-		if r.handle.ID != "" {
-			r.wastedTokens += r.handle.Tokens
+	prefillIn := e.prefillIn(h, need)
+	found = e.updateCall(h, call, func(r *request) {
+		if r.keepHandle(now, prefillIn) == transfer.Abandon {
+			stop = refusal
 		}
 		r.failures++
 		if r.failures > maxFailures || stop != nil {
@@ -230,7 +252,6 @@
 		r.excluded = append(r.excluded, failed...)
 		r.decode = nil
 		r.prefill = nil
-		r.handle = link.Handle{}
 	})
 	if !found {
 		return nil
--- a/instance/entry/queue.go
+++ b/instance/entry/queue.go
@@ -7,6 +7,7 @@
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 )
 
 // maxReserving bounds the requests of one route that ask sidecars for a place at
@@ -40,10 +41,13 @@
 	var route contract.RouteName
 	now := e.clock.Now()
 	weight := e.weightOf(h, id)
+	var need placement.Need
+	e.update(h, id, func(r *request) { need = r.need(now) })
+	least := e.firstTokenIn(h, need)
 	found := e.update(h, id, func(r *request) {
 		r.state = stateQueued
 		route = r.Route.Name
-		item = r.item(now, weight)
+		item = r.item(now, weight, least)
 	})
 	if !found {
 		return nil
@@ -63,15 +67,16 @@
 	return max(e.snapshot(h).Accounts[account].Weight, 1)
 }
 
-// item is what the queue has to know of a request.
-func (r *request) item(now time.Time, weight int) fair.Item {
+// item is what the queue has to know of a request that needs at least some time
+// to its first token.
+func (r *request) item(now time.Time, weight int, least time.Duration) fair.Item {
 	return fair.Item{
 		Request:  r.ID,
 		Account:  r.Account,
 		Weight:   weight,
 		Cost:     r.Cost(),
 		Arrived:  r.Arrived,
-		StartBy:  now.Add(r.slack(now)),
+		StartBy:  now.Add(r.slack(now) - least),
 		GiveUpAt: r.Deadline,
 		Patient:  r.Route.Patient || r.next > 0,
 	}
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -49,6 +49,10 @@
 	// sent is when the current attempt's work was last sent to an upstream.
 	sent   time.Time
 	handle link.Handle
+	// handleAt is when the KV cache was there; imported says that output was
+	// made from it.
+	handleAt time.Time
+	imported bool
 	// reached says whether any attempt ran at an upstream.
 	reached contract.Ran
 	// failures counts the attempts that failed at an upstream.
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -172,6 +172,9 @@
 			return finish(nil)
 		}
 		s.broke(ctx, granted.Fingerprint, err)
+		if errors.Is(err, errStalled) {
+			s.freeStalled(ctx, q.Call)
+		}
 		s.log.Warn("decode failed", "request", q.Call.Request, "attempt", q.Call.Attempt, "error", err)
 		return finish(decodeRefusal(err))
 	}
@@ -184,76 +187,6 @@
 	}
 }
 
-// resumeTries bounds how often a broken stream is resumed at the engine.
-const resumeTries = 3
-
-// resumeWait is the time before a broken stream is resumed.
-const resumeWait = 50 * time.Millisecond
-
-// stream reads a call's output; a stream that breaks while the engine still
-// knows the call is resumed where it broke.
-func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int) error {
-	held := table.NewHeld()
-	next := q.Offset
-	done := false
-	emit := func(chunk contract.Chunk) error {
-		chunk.Call = q.Call
-		if fresh, ok := after(chunk, next); ok {
-			s.put(held, q.From, fresh)
-			next = fresh.Offset + contract.Tokens(len(fresh.Texts))
-			done = done || fresh.Done
-		}
-		return nil
-	}
-	err := s.engine.Decode(ctx, link.Decode{
-		Call:      q.Call,
-		Model:     q.Model,
-		Handle:    q.Handle,
-		MaxTokens: q.MaxTokens,
-		Priority:  priority,
-		Pseudonym: q.Pseudonym,
-		Seed:      q.Seed,
-		Offset:    q.Offset,
-	}, emit)
-	for try := 0; try < resumeTries && errors.Is(err, link.ErrGone) && !done; try++ {
-		if !pause(ctx, resumeWait) {
-			return context.Cause(ctx)
-		}
-		err = s.engine.Resume(ctx, q.Call, next, emit)
-	}
-	if err == nil && !done {
-		return link.ErrGone
-	}
-	return err
-}
-
-// after cuts what was delivered already from a chunk; ok is false if nothing is
-// left of it.
-func after(chunk contract.Chunk, next contract.Tokens) (fresh contract.Chunk, ok bool) {
-	known := next - chunk.Offset
-	if known <= 0 {
-		return chunk, true
-	}
-	if known > contract.Tokens(len(chunk.Texts)) {
-		return chunk, false
-	}
-	chunk.Offset = next
-	chunk.Texts = chunk.Texts[known:]
-	return chunk, len(chunk.Texts) > 0 || chunk.Done
-}
-
-// pause waits in a link's goroutine; it reports false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // orderRefusal is engineRefusal, with old fencing numbers told apart.
 func orderRefusal(err error) *contract.Refusal {
 	if errors.Is(err, link.ErrStaleFence) {
@@ -262,9 +195,21 @@
 	return engineRefusal(err)
 }
 
-// decodeRefusal is engineRefusal, with evicted KV caches told apart: the entry
-// then prefills again.
+// freeStalled frees the memory that waits for a KV cache at the engine.
+func (s *Sidecar) freeStalled(ctx context.Context, call contract.CallID) {
+	ctx, cancel := context.WithTimeout(ctx, CancelTimeout)
+	defer cancel()
+	if err := s.engine.Cancel(ctx, call); err != nil {
+		s.log.Warn("cancel failed", "request", call.Request, "attempt", call.Attempt, "error", err)
+	}
+}
+
+// decodeRefusal is engineRefusal, with KV caches that did not come told apart:
+// the entry then sends them elsewhere or prefills again.
 func decodeRefusal(err error) *contract.Refusal {
+	if errors.Is(err, errStalled) {
+		return contract.RefuseRepeat(contract.CodeStaleGrant, 0, "the KV cache did not come in time")
+	}
 	if errors.Is(err, link.ErrEvicted) {
 		return contract.RefuseRepeat(contract.CodeStaleGrant, 0, "the KV cache was evicted before it was imported")
 	}
--- a/link/transfer/stall.go
+++ b/link/transfer/stall.go
@@ -6,11 +6,17 @@
 	// stallFactor times the expected duration, and stallFloor at least, is how
 	// long a transfer may take before it counts as stalled.
 	stallFactor = 3
-	stallFloor  = 50 * time.Millisecond
+	stallFloor  = 200 * time.Millisecond
 	// maxRedos bounds how often one request's prompt is run again.
 	maxRedos = 1
 )
 
+// StallAfter gives how long a transfer that should take the expected time may
+// go on before it counts as stalled.
+func StallAfter(expected time.Duration) time.Duration {
+	return max(stallFloor, stallFactor*expected)
+}
+
 // Action says what to do with a transfer.
 type Action uint8
 
@@ -55,7 +61,7 @@
 
 // Decide says what to do with a transfer.
 func Decide(p Progress) Action {
-	if !p.Failed && p.Elapsed < max(stallFloor, stallFactor*p.Expected) {
+	if !p.Failed && p.Elapsed < StallAfter(p.Expected) {
 		return Wait
 	}
 	if p.KeptFor > p.Expected && p.inTime(p.Expected) {
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -256,6 +256,16 @@
 	return held.ask, true
 }
 
+// TransferIn gives how long from now the call's transfer should take: the wait
+// for its window and the window itself.
+func (l *Ledger) TransferIn(now time.Time, call contract.CallID) time.Duration {
+	held, ok := l.grants[call]
+	if !ok {
+		return 0
+	}
+	return max(0, held.opens.Sub(now)) + l.link.Duration(held.ask.ImportBlocks)
+}
+
 // Transferred gives back what is left of the call's window on the import link.
 func (l *Ledger) Transferred(call contract.CallID) {
 	l.link.Release(call)
--- a/upstream/placement/choose.go
+++ b/upstream/placement/choose.go
@@ -80,6 +80,10 @@
 	if len(b.scratch) == 0 {
 		b.addDoubtful(now, p.near, n)
 	}
+	if len(b.scratch) == 0 && len(n.Exclude) > 0 {
+		n.Exclude = nil
+		b.addDoubtful(now, p.near, n)
+	}
 	return b.scratch
 }
 
