--- a/internal/process/examples_test.go
+++ b/internal/process/examples_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"github.com/trefoilwalk/trefoilwalk/link/operator/shell"
 	"github.com/trefoilwalk/trefoilwalk/link/settings"
 )
 
@@ -22,7 +23,7 @@
 		case strings.HasPrefix(name, "sidecar"):
 			_, err = settings.LoadSidecar(file)
 		default:
-			err = nil
+			_, err = shell.ReadSettings(file)
 		}
 		if err != nil {
 			t.Error(err)
