An entry is ready only while it may trust its configuration and can grant tokens

Cause: the callers' listener said ready as soon as it was open. Change: readiness is one method of the entry, with a reason; both listeners ask it. Conclusion: a cut-off entry leaves the balancer.

--- a/instance/entry/layout.go
+++ b/instance/entry/layout.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
@@ -49,16 +48,6 @@
 	})
 }
 
-// Ready reports whether the balancer should send requests here: the entry has a
-// configuration, and its accounts' tokens can be granted.
-func (e *Entry) Ready() bool {
-	ready := e.State() == instance.Serving
-	e.withPlanner(table.NewHeld(), func(p rate.Planner) {
-		ready = ready && p.Ready(e.clock.Now())
-	})
-	return ready
-}
-
 func (e *Entry) wantsLayout(h *table.Held, now time.Time) (wants bool) {
 	e.withPlanner(h, func(p rate.Planner) {
 		_, proposes := p.Propose(now)
--- /dev/null
+++ b/instance/entry/ready.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+)
+
+// Ready reports whether the balancer should send requests here, and if not, why:
+// the entry has a configuration that it may trust, and can grant its accounts'
+// tokens.
+func (e *Entry) Ready() (ok bool, reason string) {
+	h := table.NewHeld()
+	if state := e.State(); state != instance.Serving {
+		return false, state.String()
+	}
+	if !e.trusted(h) {
+		return false, "the configuration cannot be trusted: neither the store nor enough availability zones were heard from"
+	}
+	granting := true
+	e.withPlanner(h, func(p rate.Planner) { granting = p.Ready(e.clock.Now()) })
+	if !granting {
+		return false, "no other entry confirms this one's share of the rates"
+	}
+	return true, ""
+}
--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -121,7 +121,8 @@
 
 // Serving reports whether the entry takes requests.
 func (n *EntryNode) Serving() bool {
-	return n.entry.Ready()
+	ok, _ := n.entry.Ready()
+	return ok
 }
 
 // Revision asks the entry, as another entry would, for the configuration that it
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -12,7 +12,6 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/entry"
 	"github.com/trefoilwalk/trefoilwalk/instance/operator"
@@ -160,7 +159,7 @@
 	p.operator = api.NewServer(api.Options{
 		Service:   operator.NewService(p.store, p.core, p.core, clock.System{}),
 		Operators: operators,
-		Ready:     p.ready,
+		Ready:     p.core.Ready,
 		Log:       p.log,
 	})
 	go serve(p.operator, l.operator, p.log)
@@ -168,6 +167,7 @@
 	p.CallerAddr = l.caller.Addr().String()
 	p.handler = caller.NewHandler(p.core, s.Limits.Caller(), p.log)
 	p.handler.SetReady()
+	p.handler.Follow(p.core.Ready)
 	p.caller = caller.NewServer(p.handler, s.Limits.Caller(), p.log)
 	go serve(p.caller, l.caller, p.log)
 	return nil
@@ -181,15 +181,6 @@
 	}
 }
 
-// ready says whether the balancer should send requests here.
-func (p *Entry) ready() (ok bool, reason string) {
-	state := p.core.State()
-	if state == instance.Serving && !p.core.Ready() {
-		return false, "no other entry confirms this one's share of the rates"
-	}
-	return state == instance.Serving, state.String()
-}
-
 // Shutdown ends the entry gracefully: the balancer is told first, then new
 // requests are refused, and the running ones finish within the drain limit.
 func (p *Entry) Shutdown(ctx context.Context) error {
--- a/link/caller/gate.go
+++ b/link/caller/gate.go
@@ -49,14 +49,32 @@
 	h.gate.state.Store(&gateState{unready: "draining", draining: true})
 }
 
+// Follow makes the handler ready only while f says so; f gives the reason if not.
+// Call it before the handler serves.
+func (h *Handler) Follow(f func() (ok bool, reason string)) {
+	h.follow = f
+}
+
+// unready gives the reason why the balancer should send requests elsewhere;
+// empty if it should not.
+func (h *Handler) unready() string {
+	if reason := h.gate.state.Load().unready; reason != "" || h.follow == nil {
+		return reason
+	}
+	if ok, reason := h.follow(); !ok {
+		return reason
+	}
+	return ""
+}
+
 // ready answers the balancer.
 func (h *Handler) ready(w http.ResponseWriter, _ *http.Request) {
-	state := h.gate.state.Load()
+	reason := h.unready()
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	if state.unready == "" {
+	if reason == "" {
 		_, _ = w.Write([]byte("ready\n"))
 		return
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
-	_, _ = w.Write([]byte(state.unready + "\n"))
+	_, _ = w.Write([]byte(reason + "\n"))
 }
--- a/link/caller/handler.go
+++ b/link/caller/handler.go
@@ -36,6 +36,8 @@
 	mux    *http.ServeMux
 	bodies budget
 	gate   gate
+	// follow adds a condition to being ready; nil for none.
+	follow func() (ok bool, reason string)
 }
 
 // NewHandler returns the handler of the callers' listener. It is unready until
