--- /dev/null
+++ b/instance/sidecar/faults_test.go
@@ -0,0 +1,287 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+)
+
+// fakeEngine runs decodes until it crashes or they are cancelled. It ignores
+// fencing numbers.
+type fakeEngine struct {
+	link.Engine
+	mu      sync.Mutex
+	state   link.EngineState
+	silent  bool
+	stalled bool
+	crash   chan struct{}
+	held    map[contract.CallID]bool
+	// late is what an order that was delayed on its way does after the next one.
+	late *link.Order
+}
+
+func (f *fakeEngine) Decode(ctx context.Context, d link.Decode, emit func(contract.Chunk) error) error {
+	f.mu.Lock()
+	f.held[d.Call] = true
+	crash, stalled := f.crash, f.stalled
+	f.mu.Unlock()
+	if !stalled {
+		_ = emit(contract.Chunk{Texts: []string{"a"}})
+	}
+	select {
+	case <-crash:
+		return link.ErrGone
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (f *fakeEngine) Resume(context.Context, contract.CallID, contract.Tokens, func(contract.Chunk) error) error {
+	return link.ErrUnknownCall
+}
+
+func (f *fakeEngine) Cancel(_ context.Context, call contract.CallID) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.held, call)
+	return nil
+}
+
+func (f *fakeEngine) State(context.Context) (link.EngineState, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return link.EngineState{}, link.ErrNotSent
+	}
+	return f.state, nil
+}
+
+func (f *fakeEngine) Load(context.Context) (link.EngineLoad, error) { return link.EngineLoad{}, nil }
+
+func (f *fakeEngine) Order(_ context.Context, o link.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Role = o.Role
+	if f.late != nil {
+		f.state.Role, f.late = f.late.Role, nil
+	}
+	return nil
+}
+
+// restart crashes the engine and brings it back at once.
+func (f *fakeEngine) restart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.state.Epoch++
+	clear(f.held)
+	close(f.crash)
+	f.crash = make(chan struct{})
+}
+
+func (f *fakeEngine) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeEngine) holding() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.held)
+}
+
+func (f *fakeEngine) role() upstream.Role {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Role
+}
+
+// Fence implements FenceSource: the table gave out number 5.
+func (f *fakeEngine) Fence(context.Context, upstream.ID) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return 0, errors.New("store down")
+	}
+	return 5, nil
+}
+
+var entryID = instance.Identity{Name: "e", Incarnation: 1}
+
+// bench is a sidecar beside a fake engine.
+type bench struct {
+	t      *testing.T
+	s      *Sidecar
+	engine *fakeEngine
+}
+
+func (b *bench) reserve(name contract.RequestID, fp contract.Fingerprint) contract.Code {
+	call := contract.CallID{Request: name, Attempt: 1}
+	reply, err := b.s.Reserve(b.t.Context(), &peer.ReserveRequest{Header: peer.Header{From: entryID}, Call: call, Fingerprint: fp, Blocks: 1, ImportBlocks: 1})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return codeOf(reply.Refusal)
+}
+
+func codeOf(r *contract.Refusal) contract.Code {
+	if r == nil {
+		return ""
+	}
+	return r.Code
+}
+
+// decode reserves and starts output.
+func (b *bench) decode(name contract.RequestID, fp contract.Fingerprint) {
+	call := contract.CallID{Request: name, Attempt: 1}
+	if code := b.reserve(name, fp); code != "" {
+		b.t.Fatalf("%s was refused: %s", name, code)
+	}
+	reply, err := b.s.Decode(b.t.Context(), &peer.DecodeRequest{Header: peer.Header{From: entryID}, Call: call})
+	if err != nil || reply.Refusal != nil {
+		b.t.Fatal(err, reply.Refusal)
+	}
+	synctest.Wait()
+}
+
+// poll gives the failure of a call, if there is one.
+func (b *bench) poll(name contract.RequestID) contract.Code {
+	call := contract.CallID{Request: name, Attempt: 1}
+	reply, err := b.s.Poll(b.t.Context(), &peer.PollRequest{Header: peer.Header{From: entryID}, Calls: []peer.Ack{{Call: call}}})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for _, c := range reply.Chunks {
+		if c.Call == call && c.Failure != nil {
+			return c.Failure.Code
+		}
+	}
+	return ""
+}
+
+func (b *bench) order(fence uint64, lease time.Duration) contract.Code {
+	o := link.Order{Kind: link.OrderChangeRole, Fence: fence, Role: upstream.RoleDecode}
+	reply, err := b.s.Order(b.t.Context(), &peer.OrderRequest{Header: peer.Header{From: entryID}, Order: o, LeaseLeft: lease})
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return codeOf(reply.Refusal)
+}
+
+// TestFaults brings faults to a sidecar; each case returns what was seen.
+func TestFaults(t *testing.T) {
+	const ok = contract.Code("")
+	cases := []struct {
+		name string
+		run  func(b *bench) any
+		want any
+	}{
+		{"a request alone at a crash is quarantined", func(b *bench) any {
+			b.decode("r1", 1)
+			b.engine.restart()
+			time.Sleep(time.Second)
+			return b.reserve("r2", 1)
+		}, contract.CodeQuarantined},
+		{"of two at a crash each may run again", func(b *bench) any {
+			b.decode("r1", 1)
+			b.decode("r2", 2)
+			b.engine.restart()
+			time.Sleep(time.Second)
+			return b.reserve("r3", 1)
+		}, ok},
+		{"but not beside the other", func(b *bench) any {
+			b.decode("r1", 1)
+			b.decode("r2", 2)
+			b.engine.restart()
+			time.Sleep(time.Second)
+			b.reserve("r3", 1)
+			return b.reserve("r4", 2)
+		}, contract.CodeOverCapacity},
+		{"the call that the crash broke off fails", func(b *bench) any {
+			b.decode("r1", 1)
+			b.engine.restart()
+			time.Sleep(time.Second)
+			return b.poll("r1")
+		}, contract.CodeUpstreamFailed},
+		{"news of a quarantine count here", func(b *bench) any {
+			other := newBench(b.t)
+			other.decode("r1", 1)
+			other.engine.restart()
+			time.Sleep(time.Second)
+			b.s.heard(table.NewHeld(), other.s.header(table.NewHeld()))
+			return b.reserve("r2", 1)
+		}, contract.CodeQuarantined},
+		{"a silent engine gets no work", func(b *bench) any {
+			b.engine.set(func() { b.engine.silent = true })
+			time.Sleep(2 * time.Second)
+			return b.reserve("r1", 1)
+		}, contract.CodeOverCapacity},
+		{"until it answers", func(b *bench) any {
+			b.engine.set(func() { b.engine.silent = true })
+			time.Sleep(2 * time.Second)
+			b.engine.set(func() { b.engine.silent = false })
+			time.Sleep(time.Second)
+			return b.reserve("r1", 1)
+		}, ok},
+		{"a stalled transfer fails while its cache exists", func(b *bench) any {
+			b.engine.set(func() { b.engine.stalled = true })
+			b.decode("r1", 1)
+			time.Sleep(600 * time.Millisecond)
+			return b.poll("r1")
+		}, contract.CodeStaleGrant},
+		{"and holds no memory", func(b *bench) any {
+			b.engine.set(func() { b.engine.stalled = true })
+			b.decode("r1", 1)
+			time.Sleep(600 * time.Millisecond)
+			return b.engine.holding()
+		}, 0},
+		{"an entry that is gone holds no memory after two seconds", func(b *bench) any {
+			b.decode("r1", 1)
+			time.Sleep(2 * time.Second)
+			return b.engine.holding() + b.s.load(table.NewHeld()).Slots - b.s.load(table.NewHeld()).FreeSlots
+		}, 0},
+		{"an order of today", func(b *bench) any { return b.order(5, time.Minute) }, ok},
+		{"an order that the table has overtaken", func(b *bench) any { return b.order(4, time.Minute) }, contract.CodeStaleOrder},
+		{"an order whose lease ends during the call", func(b *bench) any { return b.order(5, OrderTimeout-1) }, contract.CodeStaleOrder},
+		{"an order while the table is down, after a restart", func(b *bench) any {
+			b.engine.set(func() { b.engine.silent = true })
+			return b.order(5, time.Minute)
+		}, contract.CodeStoreUnavailable},
+		{"a late order of before is put right", func(b *bench) any {
+			b.engine.set(func() { b.engine.late = &link.Order{Role: upstream.RolePrefill} })
+			b.order(5, time.Minute)
+			return b.engine.role()
+		}, upstream.RoleDecode},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if got := c.run(newBench(t)); got != c.want {
+					t.Errorf("got %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+func newBench(t *testing.T) *bench {
+	f := &fakeEngine{crash: make(chan struct{}), held: make(map[contract.CallID]bool), state: link.EngineState{Epoch: 1}}
+	s := New(Options{
+		Self: instance.Identity{Name: "s"}, Upstream: "u", Engine: f, Fences: f,
+		Limits: engine.Limits{Role: upstream.RoleDecode, Slots: 4, Blocks: 10, LinkBlocksPerSecond: 100},
+	})
+	t.Cleanup(s.Close)
+	synctest.Wait()
+	return &bench{t, s, f}
+}
