--- a/instance/sidecar/faults_test.go
+++ b/instance/sidecar/faults_test.go
@@ -219,7 +219,7 @@
 			other.decode("r1", 1)
 			other.engine.restart()
 			time.Sleep(time.Second)
-			b.s.heard(table.NewHeld(), other.s.header(table.NewHeld()))
+			b.s.heard(table.NewHeld(), other.s.header())
 			return b.reserve("r2", 1)
 		}, contract.CodeQuarantined},
 		{"a silent engine gets no work", func(b *bench) any {
--- a/instance/sidecar/orders.go
+++ b/instance/sidecar/orders.go
@@ -44,7 +44,7 @@
 }
 
 func (s *Sidecar) orderReply(h *table.Held, state link.EngineState, refusal *contract.Refusal) *peer.OrderReply {
-	return &peer.OrderReply{Header: s.header(h), State: state, Refusal: refusal}
+	return &peer.OrderReply{Header: s.header(), State: state, Refusal: refusal}
 }
 
 // readFence reads the current number before an order is admitted: without it, a
--- a/instance/sidecar/query.go
+++ b/instance/sidecar/query.go
@@ -16,7 +16,7 @@
 // Query implements peer.Sidecar.
 func (s *Sidecar) Query(ctx context.Context, q *peer.QueryRequest) (*peer.QueryReply, error) {
 	return ask(ctx, s, func(h *table.Held, answer func(*peer.QueryReply)) []pool.Effect {
-		reply := &peer.QueryReply{Header: s.header(h)}
+		reply := &peer.QueryReply{Header: s.header()}
 		reply.Answer.Instance = s.describe(h)
 		if q.Question.Loads {
 			reply.Answer.Loads = []upstream.Load{s.load(h)}
--- a/instance/sidecar/reserve.go
+++ b/instance/sidecar/reserve.go
@@ -21,7 +21,7 @@
 
 func (s *Sidecar) reserve(h *table.Held, q *peer.ReserveRequest) *peer.ReserveReply {
 	s.heard(h, q.Header)
-	reply := &peer.ReserveReply{Header: s.header(h)}
+	reply := &peer.ReserveReply{Header: s.header()}
 	reply.Refusal = s.refuseNewWork(h, q.Fingerprint)
 	if reply.Refusal == nil {
 		var grant engine.Grant
@@ -59,7 +59,7 @@
 			s.closeStream(h, q.From.Name, call)
 		}
 		effects := s.abort(h, q.Calls)
-		answer(&peer.CancelReply{Header: s.header(h), Load: s.load(h)})
+		answer(&peer.CancelReply{Header: s.header(), Load: s.load(h)})
 		return effects
 	})
 }
--- a/instance/sidecar/service.go
+++ b/instance/sidecar/service.go
@@ -25,7 +25,7 @@
 // sent is checked again right before it is.
 func (s *Sidecar) serve(h *table.Held, q *peer.ServiceRequest, received time.Time, answer func(*peer.ServiceReply)) []pool.Effect {
 	reply := func(h *table.Held, a contract.ServiceAnswer, refusal *contract.Refusal) {
-		answer(&peer.ServiceReply{Header: s.header(h), Load: s.load(h), Answer: a, Refusal: refusal})
+		answer(&peer.ServiceReply{Header: s.header(), Load: s.load(h), Answer: a, Refusal: refusal})
 	}
 	if s.service == nil {
 		reply(h, contract.ServiceAnswer{}, contract.Refuse(contract.CodeNoUpstream, "no service beside this sidecar"))
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -146,8 +146,8 @@
 }
 
 // header opens a reply.
-func (s *Sidecar) header(h *table.Held) peer.Header {
-	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(h)}
+func (s *Sidecar) header() peer.Header {
+	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(table.NewHeld())}
 }
 
 // load reads what the upstream can take.
