Wire quiet zones, silent sidecars and cache events into placement

Cause: the board never heard of quiet zones, of sidecars whose polls fail, or of the engines' cache; its prefixes were not those that engines name. Change: each heartbeat tells the board the quiet zones; a failed poll counts against the upstream; cache events ride on loads and a missing number halves what is believed; an ask for a place waits 250 ms instead of a second. Ruled out: messages of their own for cache events.

--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -75,9 +76,18 @@
 func (e *Entry) heartbeat(h *table.Held) []pool.Effect {
 	e.pool.After(HeartbeatEvery, e.heartbeat)
 	e.rateMembers(h)
+	e.avoidQuietZones(h)
 	return e.sendHeartbeats(h, HeartbeatFanout)
 }
 
+// avoidQuietZones tells the board which availability zones nobody hears from.
+func (e *Entry) avoidQuietZones(h *table.Held) {
+	now := e.clock.Now()
+	var quiet []zone.AvailabilityZone
+	e.members.With(h, func(m **members) { quiet = (*m).QuietZones(now) })
+	e.board.With(h, func(b **placement.Board) { (*b).SetQuiet(now, quiet) })
+}
+
 func (e *Entry) sendHeartbeats(h *table.Held, count int) (effects []pool.Effect) {
 	now := e.clock.Now()
 	var next []string
--- a/instance/entry/place.go
+++ b/instance/entry/place.go
@@ -18,6 +18,9 @@
 const (
 	// AskTimeout bounds one call that a sidecar answers at once.
 	AskTimeout = time.Second
+	// ReserveTimeout bounds one ask for a place: while an availability zone is
+	// silent, each ask there costs a request this much of its target.
+	ReserveTimeout = 250 * time.Millisecond
 	// maxFailures bounds the tries of one request that failed.
 	maxFailures = 5
 )
@@ -71,13 +74,14 @@
 // prefixBytes of a prompt tell whether an engine's cache may know it: one block.
 const prefixBytes = int(upstream.BlockTokens) * contract.BytesPerToken
 
-// prefixOf hashes the start of the prompt within the client account.
+// prefixOf names the first block of the prompt as engines do; 0 for a prompt
+// that fills none.
 func prefixOf(r *request) uint64 {
 	prompt := r.Generate.Prompt
-	if len(prompt) > prefixBytes {
-		prompt = prompt[:prefixBytes]
+	if len(prompt) < prefixBytes {
+		return 0
 	}
-	return uint64(contract.FingerprintOf(r.Account, "", prompt))
+	return upstream.PrefixHashes(r.Generate.Model, prompt[:prefixBytes])[0]
 }
 
 // reserveRequest is the message of the current attempt.
@@ -141,7 +145,7 @@
 
 // askOne asks one sidecar and reports whether it granted a place.
 func (e *Entry) askOne(ctx context.Context, choice *placement.Choice, q *peer.ReserveRequest, result *asked) bool {
-	ctx, cancel := context.WithTimeout(ctx, AskTimeout)
+	ctx, cancel := context.WithTimeout(ctx, ReserveTimeout)
 	defer cancel()
 	reply, err := e.peers.Sidecar(choice.Addr).Reserve(ctx, q)
 	if err != nil {
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 )
 
 // Times of polling.
@@ -156,6 +157,7 @@
 // calls it had.
 func (e *Entry) pollFailed(h *table.Held, addr string) (effects []pool.Effect) {
 	gone := false
+	e.failedAt(h, addr)
 	e.pollers.With(h, func(pollers *map[string]*poller) {
 		p := (*pollers)[addr]
 		p.failures++
@@ -171,6 +173,12 @@
 	return effects
 }
 
+// failedAt tells the board that the sidecar at an address did not answer.
+func (e *Entry) failedAt(h *table.Held, addr string) {
+	now := e.clock.Now()
+	e.board.With(h, func(b **placement.Board) { (*b).FailedAt(now, addr) })
+}
+
 // lost moves a call that its sidecar does not know to another upstream. Prefills
 // are not moved here: their own reply tells.
 func (e *Entry) lost(h *table.Held, addr string, call contract.CallID) []pool.Effect {
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -123,7 +123,7 @@
 	now := e.clock.Now()
 	placed := true
 	found := e.updateCall(h, run.call, func(r *request) {
-		e.prefillAnswered(h, choice.ID, now.Sub(r.sent), run.q.Tokens)
+		e.prefillAnswered(h, choice.ID, now.Sub(r.sent), run.q.Tokens, prefixOf(r))
 		r.prefill = nil
 		r.handle = reply.Handle
 		r.handleAt = now
@@ -153,10 +153,13 @@
 }
 
 // prefillAnswered tells the board how long an engine takes for a thousand
-// tokens, so that engines compare whatever prompts they had.
-func (e *Entry) prefillAnswered(h *table.Held, id upstream.ID, took time.Duration, tokens contract.Tokens) {
+// tokens, so that engines compare whatever prompts they had, and which prefix it
+// has cached now.
+func (e *Entry) prefillAnswered(h *table.Held, id upstream.ID, took time.Duration, tokens contract.Tokens, prefix uint64) {
 	const unit = 1000
 	e.succeeded(h, id, took*unit/time.Duration(max(tokens, unit)))
+	now := e.clock.Now()
+	e.board.With(h, func(b **placement.Board) { (*b).PrefixStored(now, id, prefix) })
 }
 
 // prefillRefused tries the next choice. A prefill has no effect that lasts, so
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -78,6 +78,9 @@
 	// revision repeats the one in force, so that headers need no lock.
 	revision atomic.Uint64
 
+	// cacheSeq is the last cache event that was read from the engine.
+	cacheSeq atomic.Uint64
+
 	suspects *table.Single[suspects]
 	ledger   *table.Single[*engine.Ledger]
 	calls    *table.Striped[callKey, *running]
--- a/instance/sidecar/watch.go
+++ b/instance/sidecar/watch.go
@@ -7,6 +7,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
 )
 
@@ -29,6 +30,8 @@
 	epoch int64
 	// load is set for engines.
 	load *link.EngineLoad
+	// events are those of a prefill engine's cache since the last look.
+	events []upstream.CacheNews
 }
 
 // watchUpstream looks at the upstream from time to time.
@@ -60,9 +63,26 @@
 	if load, err := s.engine.Load(ctx); err == nil {
 		seen.load = &load
 	}
+	if state.Role == upstream.RolePrefill {
+		seen.events = s.cacheEvents(ctx)
+	}
 	return seen
 }
 
+// cacheEvents reads the cache events after those that were read before.
+func (s *Sidecar) cacheEvents(ctx context.Context) []upstream.CacheNews {
+	events, err := s.engine.Events(ctx, s.cacheSeq.Load())
+	if err != nil {
+		return nil
+	}
+	news := make([]upstream.CacheNews, 0, len(events))
+	for _, e := range events {
+		news = append(news, upstream.CacheNews{Seq: e.Seq, Prefix: e.Prefix, Stored: e.Stored})
+		s.cacheSeq.Store(e.Seq)
+	}
+	return news
+}
+
 // saw takes in what a look showed.
 func (s *Sidecar) saw(h *table.Held, seen sight) {
 	crashed := false
@@ -76,6 +96,7 @@
 		if seen.load != nil {
 			(*l).SetLimits(limitsOf((*l).Limits(), seen.load))
 		}
+		(*l).CacheEvents(seen.events)
 	})
 	if crashed {
 		s.crashed(h)
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -71,6 +71,7 @@
 type Ledger struct {
 	id       upstream.ID
 	limits   Limits
+	cache    []upstream.CacheNews
 	leaving  bool
 	down     bool
 	grants   map[contract.CallID]*grant
@@ -106,6 +107,15 @@
 	return l.limits
 }
 
+// maxCacheNews bounds the cache events that a report carries.
+const maxCacheNews = 8
+
+// CacheEvents takes in events of the engine's cache, which reports carry on.
+func (l *Ledger) CacheEvents(events []upstream.CacheNews) {
+	all := append(slices.Clone(l.cache), events...)
+	l.cache = all[max(0, len(all)-maxCacheNews):]
+}
+
 // SetLeaving says whether the upstream takes no more new work.
 func (l *Ledger) SetLeaving(leaving bool) {
 	l.leaving = leaving
--- a/upstream/engine/report.go
+++ b/upstream/engine/report.go
@@ -47,6 +47,7 @@
 		PrefillPerSecond:    l.limits.PrefillPerSecond,
 		LinkBlocksPerSecond: l.limits.LinkBlocksPerSecond,
 		TransferBacklog:     l.link.Backlog(now),
+		Cache:               l.cache,
 		Leaving:             l.leaving,
 		At:                  now,
 	}
--- a/upstream/placement/board.go
+++ b/upstream/placement/board.go
@@ -86,6 +86,7 @@
 	score   scorer
 	random  *rand.Rand
 	runners map[upstream.ID]*runner
+	byAddr  map[string]*runner
 	pools   map[poolKey]*pool
 	groups  map[poolKey]*health.Group
 	watched []*runner
@@ -152,6 +153,7 @@
 func (b *Board) Observe(now time.Time, l upstream.Load) {
 	if r, ok := b.runners[l.Upstream]; ok {
 		r.observe(now, l)
+		r.cache.learn(now, l.Cache)
 	}
 }
 
@@ -163,6 +165,13 @@
 	}
 }
 
+// FailedAt is Failed for the upstream whose sidecar is at an address.
+func (b *Board) FailedAt(now time.Time, addr string) {
+	if r, ok := b.byAddr[addr]; ok {
+		r.health.Failed(now)
+	}
+}
+
 // Succeeded records an answer of an upstream and how long it took.
 func (b *Board) Succeeded(now time.Time, id upstream.ID, took time.Duration) {
 	if r, ok := b.runners[id]; ok {
--- a/upstream/placement/pools.go
+++ b/upstream/placement/pools.go
@@ -97,7 +97,9 @@
 // rebuild sorts the upstreams that take new work into pools.
 func (b *Board) rebuild() {
 	members := make(map[poolKey][]*runner)
+	b.byAddr = make(map[string]*runner, len(b.runners))
 	for _, r := range b.runners {
+		b.byAddr[r.up.SidecarAddr] = r
 		if r.up.State != upstream.StateServing {
 			continue
 		}
--- a/upstream/placement/prefix.go
+++ b/upstream/placement/prefix.go
@@ -24,6 +24,27 @@
 // a caller is promised counts on it.
 type prefixes struct {
 	until map[uint64]time.Time
+	// seq is that of the last event heard.
+	seq uint64
+}
+
+// learn takes in events that a report carries. They overlap with those of the
+// reports before; what is missing between them was lost.
+func (p *prefixes) learn(now time.Time, events []upstream.CacheNews) {
+	for _, event := range events {
+		if event.Seq <= p.seq {
+			continue
+		}
+		if p.seq > 0 && event.Seq > p.seq+1 {
+			p.gap(now)
+		}
+		p.seq = event.Seq
+		if event.Stored {
+			p.stored(now, event.Prefix)
+		} else {
+			p.removed(event.Prefix)
+		}
+	}
 }
 
 // stored notes that a prefix is likely cached.
@@ -78,24 +99,10 @@
 	}
 }
 
-// PrefixStored notes that an upstream has a prompt prefix cached, from its own
-// late events or because it just ran that prompt.
+// PrefixStored notes that an upstream has a prompt prefix cached, because it just
+// ran that prompt.
 func (b *Board) PrefixStored(now time.Time, id upstream.ID, prefix uint64) {
 	if r, ok := b.runners[id]; ok {
 		r.cache.stored(now, prefix)
 	}
 }
-
-// PrefixRemoved notes that an upstream evicted a prompt prefix.
-func (b *Board) PrefixRemoved(_ time.Time, id upstream.ID, prefix uint64) {
-	if r, ok := b.runners[id]; ok {
-		r.cache.removed(prefix)
-	}
-}
-
-// PrefixGap notes that cache events of an upstream were lost.
-func (b *Board) PrefixGap(now time.Time, id upstream.ID) {
-	if r, ok := b.runners[id]; ok {
-		r.cache.gap(now)
-	}
-}
--- a/upstream/placement/timing_test.go
+++ b/upstream/placement/timing_test.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// tell reports cache events of an idle prefill engine.
+func tell(b *Board, id upstream.ID, events ...upstream.CacheNews) {
+	l := loadOf(id, upstream.RolePrefill)
+	l.Cache = events
+	b.Observe(start, l)
+}
+
 // TestPrefix counts which engine gets prompts whose prefix pb holds.
 func TestPrefix(t *testing.T) {
 	cases := []struct {
@@ -75,11 +82,12 @@
 			l.QueuedTokens = 900
 			b.Observe(start, l)
 		}, "pa"},
-		{"not when it was evicted and the other has it", func(b *Board) { b.PrefixRemoved(start, "pb", 7); b.PrefixStored(start, "pa", 7) }, "pa"},
+		{"not when it was evicted and the other has it", func(b *Board) { tell(b, "pb", upstream.CacheNews{Seq: 9, Prefix: 7}); b.PrefixStored(start, "pa", 7) }, "pa"},
 		{"less after a gap", func(b *Board) {
-			b.PrefixGap(start, "pb")
+			tell(b, "pb", upstream.CacheNews{Seq: 3, Prefix: 1}, upstream.CacheNews{Seq: 5, Prefix: 1})
 			b.PrefixStored(start, "pa", 7)
 		}, "pa"},
+		{"by its own word", func(b *Board) { tell(b, "pb", upstream.CacheNews{Seq: 1, Prefix: 7, Stored: true}) }, "pb"},
 		{"not when it fails", func(b *Board) { b.Failed(start, "pb") }, "pa"},
 	}
 	for _, c := range cases {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -110,6 +110,14 @@
 	return int((tokens + BlockTokens - 1) / BlockTokens)
 }
 
+// CacheNews tells that the prefix of a prompt entered or left an engine's cache.
+// Prefix is one of PrefixHashes; a missing Seq shows a lost event.
+type CacheNews struct {
+	Seq    uint64
+	Prefix uint64
+	Stored bool
+}
+
 // Load is what a sidecar says of its upstream. It rides on every reply.
 type Load struct {
 	Upstream ID
@@ -126,6 +134,9 @@
 	LinkBlocksPerSecond float64
 	// TransferBacklog is how long the import link is reserved from now.
 	TransferBacklog time.Duration
+	// Cache are the latest cache events of a prefill engine, in order. They come
+	// late and with gaps.
+	Cache []CacheNews
 	// Leaving means no new work.
 	Leaving bool
 	// At is when the sidecar read these values, by its own clock.
