Use certificate files that are taken anew in all listeners and peer calls

Cause: certificates were read once at the start. Change: listeners and dialers of the processes take their configuration from link/tlsfiles; the settings only check the files.

--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"time"
 
@@ -170,7 +169,7 @@
 	case o.DryRun:
 		loaded.Snapshot = have
 	default:
-		return nil, errors.Join(config.ErrNotAccepted, err)
+		return nil, fmt.Errorf("%w: %w", config.ErrNotAccepted, err)
 	}
 	base := loaded.Snapshot
 	if o.Expect != nil && *o.Expect != base.Revision {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -61,7 +61,7 @@
 }
 
 func newEntry(s settings.Entry, o Options) (*Entry, error) {
-	dial, err := dialer(o.Network, s.Peer)
+	dial, err := dialer(o, s.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +79,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listeners, err := openEntry(s, o.Network)
+	listeners, err := openEntry(s, o)
 	if err != nil {
 		return nil, err
 	}
@@ -89,8 +89,8 @@
 }
 
 // openEntry opens the listeners, or none.
-func openEntry(s settings.Entry, network Network) (l entryListeners, err error) {
-	opened, err := openAll(network, s.Peer, s.Operator, s.Caller)
+func openEntry(s settings.Entry, o Options) (l entryListeners, err error) {
+	opened, err := openAll(o, s.Peer, s.Operator, s.Caller)
 	if err != nil {
 		return l, err
 	}
--- a/internal/process/network.go
+++ b/internal/process/network.go
@@ -16,9 +16,11 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
 	"github.com/trefoilwalk/trefoilwalk/link/settings"
+	"github.com/trefoilwalk/trefoilwalk/link/tlsfiles"
 )
 
 // Options are what a process takes besides its settings.
@@ -69,23 +71,31 @@
 	}
 }
 
+// tlsOf reads the TLS files of a listener; nil for plain text.
+func tlsOf(o Options, l settings.Listener) (*tlsfiles.Source, error) {
+	if l.PlainText {
+		return nil, nil
+	}
+	return tlsfiles.New(l.Files(), clock.System{}, o.Log)
+}
+
 // listen opens a listener with TLS as its settings say.
-func listen(network Network, l settings.Listener) (net.Listener, error) {
-	config, err := l.TLS()
+func listen(o Options, l settings.Listener) (net.Listener, error) {
+	source, err := tlsOf(o, l)
 	if err != nil {
 		return nil, err
 	}
-	raw, err := network.Listen(l.Listen)
-	if err != nil || config == nil {
+	raw, err := o.Network.Listen(l.Listen)
+	if err != nil || source == nil {
 		return raw, err
 	}
-	return tls.NewListener(raw, config), nil
+	return tls.NewListener(raw, source.Server()), nil
 }
 
 // openAll opens listeners; if one fails, those opened before are closed.
-func openAll(network Network, wanted ...settings.Listener) (opened []net.Listener, err error) {
+func openAll(o Options, wanted ...settings.Listener) (opened []net.Listener, err error) {
 	for _, w := range wanted {
-		l, err := listen(network, w)
+		l, err := listen(o, w)
 		if err != nil {
 			closeAll(opened)
 			return nil, fmt.Errorf("listener %s: %w", w.Listen, err)
@@ -118,29 +128,27 @@
 }
 
 // dialer opens connections to peers with the certificate of the peer listener.
-func dialer(network Network, l settings.Listener) (rpc.Dialer, error) {
-	config, err := l.TLS()
+func dialer(o Options, l settings.Listener) (rpc.Dialer, error) {
+	source, err := tlsOf(o, l)
 	if err != nil {
 		return nil, err
 	}
 	return func(ctx context.Context, addr string) (net.Conn, error) {
-		raw, err := network.Dial(ctx, addr)
-		if err != nil || config == nil {
+		raw, err := o.Network.Dial(ctx, addr)
+		if err != nil || source == nil {
 			return raw, err
 		}
-		return shakeHands(ctx, raw, addr, config)
+		return shakeHands(ctx, raw, addr, source)
 	}, nil
 }
 
 // shakeHands starts TLS on a connection to a peer.
-func shakeHands(ctx context.Context, raw net.Conn, addr string, config *tls.Config) (net.Conn, error) {
+func shakeHands(ctx context.Context, raw net.Conn, addr string, source *tlsfiles.Source) (net.Conn, error) {
 	host, _, err := net.SplitHostPort(addr)
 	if err != nil {
 		return nil, errors.Join(err, raw.Close())
 	}
-	config = config.Clone()
-	config.ServerName = host
-	conn := tls.Client(raw, config)
+	conn := tls.Client(raw, source.Client(host))
 	if err := conn.HandshakeContext(ctx); err != nil {
 		return nil, errors.Join(err, raw.Close())
 	}
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	opened, err := openAll(o.Network, s.Peer, s.Operator)
+	opened, err := openAll(o, s.Peer, s.Operator)
 	if err != nil {
 		return nil, err
 	}
--- a/link/configcodec/codec.go
+++ b/link/configcodec/codec.go
@@ -65,13 +65,13 @@
 	decoder := gob.NewDecoder(bytes.NewReader(data))
 	var format int
 	if err := decoder.Decode(&format); err != nil {
-		return errors.Join(ErrCorrupt, err)
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	if format < 1 || format > Format {
 		return fmt.Errorf("%w: %d", ErrFormat, format)
 	}
 	if err := decoder.Decode(value); err != nil {
-		return errors.Join(ErrCorrupt, err)
+		return fmt.Errorf("%w: %w", ErrCorrupt, err)
 	}
 	return nil
 }
--- a/link/operator/client/client.go
+++ b/link/operator/client/client.go
@@ -59,13 +59,13 @@
 func (c *Client) Run(ctx context.Context, q wire.Request) (*wire.Response, error) {
 	body, err := json.Marshal(q)
 	if err != nil {
-		return nil, errors.Join(ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.WaitMS)*time.Millisecond+Margin)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+wire.StatementsPath, bytes.NewReader(body))
 	if err != nil {
-		return nil, errors.Join(ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	request.Header.Set("Authorization", "Bearer "+c.key)
 	request.Header.Set("Content-Type", "application/json")
@@ -74,9 +74,9 @@
 	answer, err := c.http.Do(request)
 	switch {
 	case notConnected(err):
-		return nil, errors.Join(ErrNotSent, err)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	case err != nil:
-		return nil, errors.Join(ErrNoAnswer, err)
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	return read(answer)
@@ -95,12 +95,12 @@
 func read(answer *http.Response) (*wire.Response, error) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, MaxAnswer))
 	if err != nil {
-		return nil, errors.Join(ErrNoAnswer, err)
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	if answer.StatusCode != http.StatusOK {
 		var refused wire.ErrorResponse
 		if err := json.Unmarshal(body, &refused); err != nil {
-			return nil, errors.Join(ErrNoAnswer, fmt.Errorf("status %d", answer.StatusCode))
+			return nil, fmt.Errorf("%w: %w", ErrNoAnswer, fmt.Errorf("status %d", answer.StatusCode))
 		}
 		return nil, &RefusedError{Status: answer.StatusCode, Detail: refused.Error}
 	}
@@ -108,7 +108,7 @@
 	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.UseNumber()
 	if err := decoder.Decode(&response); err != nil {
-		return nil, errors.Join(ErrNoAnswer, err)
+		return nil, fmt.Errorf("%w: %w", ErrNoAnswer, err)
 	}
 	return &response, nil
 }
--- a/link/platform/configstore/accept.go
+++ b/link/platform/configstore/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -23,7 +24,7 @@
 func (s *Store) Accept(ctx context.Context, base *config.Snapshot, change config.Change) error {
 	h, err := s.readHead(ctx)
 	if err != nil {
-		return errors.Join(config.ErrNotAccepted, err)
+		return fmt.Errorf("%w: %w", config.ErrNotAccepted, err)
 	}
 	if h.Revision != base.Revision {
 		return &config.ConflictError{Expected: base.Revision, Winner: h.Revision, By: h.By, At: h.At}
@@ -31,7 +32,7 @@
 	writeID := newWriteID()
 	tx, err := s.transaction(ctx, h, base, change, writeID)
 	if err != nil {
-		return errors.Join(config.ErrNotAccepted, err)
+		return fmt.Errorf("%w: %w", config.ErrNotAccepted, err)
 	}
 	return s.commit(ctx, tx, change, writeID)
 }
@@ -76,7 +77,7 @@
 			return s.afterConflict(ctx, change, writeID, maybeWritten)
 		case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrThrottled):
 			if !maybeWritten {
-				return errors.Join(config.ErrNotAccepted, err)
+				return fmt.Errorf("%w: %w", config.ErrNotAccepted, err)
 			}
 		default:
 			maybeWritten = true
@@ -100,7 +101,7 @@
 	}
 	found, err := decodeEntry(rows[0])
 	if err != nil {
-		return true, errors.Join(config.ErrUndecided, err)
+		return true, fmt.Errorf("%w: %w", config.ErrUndecided, err)
 	}
 	if found.WriteID == writeID {
 		return true, nil
@@ -125,7 +126,7 @@
 		}
 	}
 	if !maybeWritten {
-		return errors.Join(config.ErrNotAccepted, platform.ErrConflict)
+		return fmt.Errorf("%w: %w", config.ErrNotAccepted, platform.ErrConflict)
 	}
 	return config.ErrUndecided
 }
--- a/link/platform/configstore/audit.go
+++ b/link/platform/configstore/audit.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"math"
 	"slices"
 
@@ -92,7 +92,7 @@
 		first := max(h.LogFrom, revisionsBack(from, limit))
 		changes, err = s.readLog(ctx, first-1, from)
 		if err != nil {
-			return nil, errors.Join(ErrUnavailable, err)
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 		slices.Reverse(changes)
 	}
@@ -106,7 +106,7 @@
 func (s *Store) auditObjects(ctx context.Context, changes []config.Change, from contract.Revision, limit int) ([]config.Change, error) {
 	names, err := s.objects.List(ctx, auditPrefix)
 	if err != nil {
-		return nil, errors.Join(ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	for _, name := range slices.Backward(names) {
 		if name > auditName(from, math.MaxUint64) {
@@ -132,11 +132,11 @@
 func (s *Store) auditObject(ctx context.Context, name string) ([]config.Change, error) {
 	body, err := s.objects.Get(ctx, name)
 	if err != nil {
-		return nil, errors.Join(ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	var changes []config.Change
 	if err := configcodec.Decode(body, &changes); err != nil {
-		return nil, errors.Join(ErrUnreadable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return changes, nil
 }
--- a/link/platform/configstore/load.go
+++ b/link/platform/configstore/load.go
@@ -30,7 +30,7 @@
 			return loaded, err
 		}
 	}
-	return config.Loaded{}, errors.Join(ErrUnavailable, err)
+	return config.Loaded{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 }
 
 // errTrimmed means that the log was trimmed between two reads.
@@ -63,7 +63,7 @@
 	}
 	next, err := config.Replay(base, changes)
 	if err != nil {
-		return config.Loaded{}, errors.Join(ErrUnreadable, err)
+		return config.Loaded{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return config.Loaded{Snapshot: next, Changes: changes}, nil
 }
@@ -75,7 +75,7 @@
 		limit := min(scanLimit, int(upTo-after))
 		rows, err := s.table.Scan(ctx, logPrefix, logKey(after), limit)
 		if err != nil {
-			return nil, errors.Join(ErrUnavailable, err)
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 		if len(rows) == 0 {
 			return nil, errTrimmed
@@ -98,7 +98,7 @@
 func decodeEntry(row platform.Row) (entry, error) {
 	var e entry
 	if err := configcodec.Decode(row.Value, &e); err != nil {
-		return entry{}, errors.Join(ErrUnreadable, fmt.Errorf("row %s: %w", row.Key, err))
+		return entry{}, fmt.Errorf("%w: %w", ErrUnreadable, fmt.Errorf("row %s: %w", row.Key, err))
 	}
 	return e, nil
 }
@@ -110,14 +110,14 @@
 	}
 	body, err := s.objects.Get(ctx, snapshotName(revision))
 	if errors.Is(err, platform.ErrNotFound) {
-		return nil, errors.Join(errTrimmed, err)
+		return nil, fmt.Errorf("%w: %w", errTrimmed, err)
 	}
 	if err != nil {
-		return nil, errors.Join(ErrUnavailable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	var stored config.Snapshot
 	if err := configcodec.Decode(body, &stored); err != nil {
-		return nil, errors.Join(ErrUnreadable, err)
+		return nil, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	return stored.Clone(), nil
 }
--- a/link/platform/configstore/store.go
+++ b/link/platform/configstore/store.go
@@ -73,14 +73,14 @@
 func (s *Store) readHead(ctx context.Context) (head, error) {
 	rows, err := s.table.Get(ctx, headKey)
 	if err != nil {
-		return head{}, errors.Join(ErrUnavailable, err)
+		return head{}, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	if len(rows) == 0 {
 		return head{LogFrom: 1}, nil
 	}
 	var h head
 	if err := configcodec.Decode(rows[0].Value, &h); err != nil {
-		return head{}, errors.Join(ErrUnreadable, err)
+		return head{}, fmt.Errorf("%w: %w", ErrUnreadable, err)
 	}
 	h.version = rows[0].Version
 	return h, nil
--- a/link/settings/listener.go
+++ b/link/settings/listener.go
@@ -1,11 +1,10 @@
 package settings
 
 import (
-	"crypto/tls"
-	"crypto/x509"
-	"errors"
-	"fmt"
-	"os"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
+	"github.com/trefoilwalk/trefoilwalk/link/tlsfiles"
 )
 
 // Listener is where a process takes connections. Either certificate and key are
@@ -25,35 +24,10 @@
 	PlainText bool `toml:"plain_text"`
 }
 
-// minTLS is the oldest version of TLS that is spoken.
-const minTLS = tls.VersionTLS13
-
-// TLS gives the configuration for the listener and for calls on the same link;
-// nil for plain text.
-func (l *Listener) TLS() (*tls.Config, error) {
-	if l.PlainText {
-		return nil, nil
-	}
-	cert, err := tls.LoadX509KeyPair(l.TLSCert, l.TLSKey)
-	if err != nil {
-		return nil, fmt.Errorf("certificate or key: %w", err)
-	}
-	config := &tls.Config{MinVersion: minTLS, Certificates: []tls.Certificate{cert}}
-	if l.TLSClientCA == "" {
-		return config, nil
-	}
-	pem, err := os.ReadFile(l.TLSClientCA)
-	if err != nil {
-		return nil, fmt.Errorf("authority: %w", err)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.New("authority: no certificate in the file")
-	}
-	config.ClientCAs = pool
-	config.RootCAs = pool
-	config.ClientAuth = tls.RequireAndVerifyClientCert
-	return config, nil
+// Files names the listener's TLS files, which also serve for calls on the same
+// link. They are not used with plain text.
+func (l *Listener) Files() tlsfiles.Files {
+	return tlsfiles.Files{Cert: l.TLSCert, Key: l.TLSKey, Authority: l.TLSClientCA}
 }
 
 // check checks a listener. Certificates are read, so that a wrong one shows
@@ -68,7 +42,7 @@
 	case l.TLSCert == "" || l.TLSKey == "":
 		c.add(key, "needs tls_cert and tls_key, or plain_text = true")
 	default:
-		if _, err := l.TLS(); err != nil {
+		if _, err := tlsfiles.New(l.Files(), clock.System{}, hclog.NewNullLogger()); err != nil {
 			c.add(key+".tls_cert", "%v", err)
 		}
 	}
--- a/link/tlsfiles/tlsfiles.go
+++ b/link/tlsfiles/tlsfiles.go
@@ -27,9 +27,9 @@
 // Errors of this layer.
 var (
 	// ErrCertificate means that certificate and key cannot be used.
-	ErrCertificate = errors.New("tlsfiles: certificate or key")
+	ErrCertificate = errors.New("certificate or key")
 	// ErrAuthority means that the authority's file cannot be used.
-	ErrAuthority = errors.New("tlsfiles: authority")
+	ErrAuthority = errors.New("authority")
 )
 
 // Files names PEM files.
@@ -150,18 +150,18 @@
 func read(files Files) (*material, error) {
 	stamps, err := stampsOf(files)
 	if err != nil {
-		return nil, errors.Join(ErrCertificate, err)
+		return nil, fmt.Errorf("%w: %w", ErrCertificate, err)
 	}
 	m := &material{stamps: stamps}
 	if m.cert, err = tls.LoadX509KeyPair(files.Cert, files.Key); err != nil {
-		return nil, errors.Join(ErrCertificate, err)
+		return nil, fmt.Errorf("%w: %w", ErrCertificate, err)
 	}
 	if files.Authority == "" {
 		return m, nil
 	}
 	pem, err := os.ReadFile(files.Authority)
 	if err != nil {
-		return nil, errors.Join(ErrAuthority, err)
+		return nil, fmt.Errorf("%w: %w", ErrAuthority, err)
 	}
 	m.authority = x509.NewCertPool()
 	if !m.authority.AppendCertsFromPEM(pem) {
