Order engines to what the configuration says

Cause: operators' role and load model commands changed the configuration, and nothing told the engine. Ruled out: orders sent by the entry that took the command, which need a lease and a retry for each way in which that entry can fail, and are not repeated when an engine restarts.

--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -123,6 +123,7 @@
 	})
 	s.pool.After(SweepEvery, s.sweep)
 	s.pool.Resume(s.watchUpstream)
+	s.pool.After(ReconcileEvery, s.reconcileFromTimeToTime)
 	s.life.Advance(instance.Serving)
 	return s
 }
