--- a/link/tlsfiles/tlsfiles_test.go
+++ b/link/tlsfiles/tlsfiles_test.go
@@ -1,16 +1,10 @@
 package tlsfiles_test
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
 	"errors"
 	"io"
-	"math/big"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -20,6 +14,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/certs"
 	"github.com/trefoilwalk/trefoilwalk/link/tlsfiles"
 )
 
@@ -42,67 +37,6 @@
 	c.now = c.now.Add(d)
 }
 
-// authority signs certificates.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{cert, key}
-}
-
-// write puts a new certificate with a serial number, its key and the authority
-// into a directory.
-func (a authority) write(t *testing.T, dir string, serial int64) tlsfiles.Files {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	private, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	files := tlsfiles.Files{Cert: filepath.Join(dir, "cert"), Key: filepath.Join(dir, "key"), Authority: filepath.Join(dir, "ca")}
-	put(t, files.Cert, "CERTIFICATE", der, serial)
-	put(t, files.Key, "PRIVATE KEY", private, serial)
-	put(t, files.Authority, "CERTIFICATE", a.cert.Raw, serial)
-	return files
-}
-
-// put writes a file whose time of change follows from the serial number.
-func put(t *testing.T, name, kind string, der []byte, serial int64) {
-	t.Helper()
-	if err := os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	changed := time.Unix(1_000_000+serial, 0)
-	if err := os.Chtimes(name, changed, changed); err != nil {
-		t.Fatal(err)
-	}
-}
-
 func newSource(t *testing.T, files tlsfiles.Files, c clock.Clock) *tlsfiles.Source {
 	t.Helper()
 	source, err := tlsfiles.New(files, c, hclog.NewNullLogger())
@@ -149,11 +83,11 @@
 }
 
 func TestChangedFiles(t *testing.T) {
-	ca, dir := newAuthority(t), t.TempDir()
+	ca, dir := certs.New(t), t.TempDir()
 	now := &setClock{now: time.Unix(5_000_000, 0)}
-	server := newSource(t, ca.write(t, dir, 2), now)
+	server := newSource(t, ca.Write(t, dir, 2), now)
 	listener := server.Server()
-	client := newSource(t, ca.write(t, t.TempDir(), 100), now)
+	client := newSource(t, ca.Write(t, t.TempDir(), 100), now)
 	steps := []struct {
 		name string
 		do   func()
@@ -161,11 +95,11 @@
 		want int64
 	}{
 		{"as started", func() {}, 0, 2},
-		{"changed a moment ago", func() { ca.write(t, dir, 3) }, tlsfiles.CheckEvery / 2, 2},
+		{"changed a moment ago", func() { ca.Write(t, dir, 3) }, tlsfiles.CheckEvery / 2, 2},
 		{"changed", func() {}, tlsfiles.CheckEvery, 3},
-		{"cut short", func() { put(t, filepath.Join(dir, "cert"), "CERTIFICATE", []byte("x"), 4) }, tlsfiles.CheckEvery, 3},
+		{"cut short", func() { certs.Put(t, filepath.Join(dir, "cert"), "CERTIFICATE", []byte("x"), 4) }, tlsfiles.CheckEvery, 3},
 		{"gone", func() { _ = os.Remove(filepath.Join(dir, "key")) }, tlsfiles.CheckEvery, 3},
-		{"put right", func() { ca.write(t, dir, 5) }, tlsfiles.CheckEvery, 5},
+		{"put right", func() { ca.Write(t, dir, 5) }, tlsfiles.CheckEvery, 5},
 	}
 	for _, step := range steps {
 		step.do()
@@ -179,21 +113,21 @@
 
 func TestWhoIsLetIn(t *testing.T) {
 	now := &setClock{now: time.Unix(5_000_000, 0)}
-	ours, theirs := newAuthority(t), newAuthority(t)
-	server := newSource(t, ours.write(t, t.TempDir(), 2), now)
-	open := ours.write(t, t.TempDir(), 3)
+	ours, theirs := certs.New(t), certs.New(t)
+	server := newSource(t, ours.Write(t, t.TempDir(), 2), now)
+	open := ours.Write(t, t.TempDir(), 3)
 	open.Authority = ""
 	roots := x509.NewCertPool()
-	roots.AddCert(ours.cert)
+	roots.AddCert(ours.Cert)
 	cases := []struct {
 		name   string
 		server *tls.Config
 		client *tls.Config
 		ok     bool
 	}{
-		{"own process", server.Server(), newSource(t, ours.write(t, t.TempDir(), 4), now).Client("127.0.0.1"), true},
-		{"other authority", server.Server(), newSource(t, theirs.write(t, t.TempDir(), 4), now).Client("127.0.0.1"), false},
-		{"other address", server.Server(), newSource(t, ours.write(t, t.TempDir(), 4), now).Client("127.0.0.2"), false},
+		{"own process", server.Server(), newSource(t, ours.Write(t, t.TempDir(), 4), now).Client("127.0.0.1"), true},
+		{"other authority", server.Server(), newSource(t, theirs.Write(t, t.TempDir(), 4), now).Client("127.0.0.1"), false},
+		{"other address", server.Server(), newSource(t, ours.Write(t, t.TempDir(), 4), now).Client("127.0.0.2"), false},
 		{"no certificate", server.Server(), &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}, false},
 		{"old TLS", server.Server(), &tls.Config{RootCAs: roots, ServerName: "127.0.0.1", MaxVersion: tls.VersionTLS12}, false},
 		{"open listener", newSource(t, open, now).Server(), &tls.Config{RootCAs: roots, ServerName: "127.0.0.1"}, true},
