--- a/cmd/trefoil-dev/quickstart.go
+++ b/cmd/trefoil-dev/quickstart.go
@@ -55,7 +55,9 @@
 	summary := quickstart.Run(loadCtx, f)
 	printSummary(text, summary)
 	if stay {
-		printHowTo(text, f)
+		if err := printHowTo(text, f); err != nil {
+			return err
+		}
 		<-ctx.Done()
 	}
 	if asJSON {
@@ -92,10 +94,20 @@
 }
 
 // printHowTo says how to use the fleet while it runs.
-func printHowTo(w io.Writer, f *fleet.Fleet) {
+func printHowTo(w io.Writer, f *fleet.Fleet) error {
+	operators, err := f.OpenOperators(f.Entries[0])
+	if err != nil {
+		return err
+	}
 	account := f.Workload.Accounts[0]
 	fmt.Fprintln(w, "\nThe fleet keeps running; interrupt to end it. Send a request:")
 	fmt.Fprintf(w, "\n  curl -N %s/v1/completions -H 'Authorization: Bearer %s' \\\n", f.Entries[0].URL, account.Key)
 	fmt.Fprintf(w, "    -d '{\"model\":\"%s\",\"prompt\":\"warp over weft\",\"max_tokens\":20,\"stream\":true}'\n", f.Workload.Model)
 	fmt.Fprintf(w, "\n  curl %s%scoils -H 'Authorization: Bearer %s'\n", f.Entries[1].URL, f.Workload.FreePath, account.Key)
+	fmt.Fprintln(w, "\nAsk and command the fleet:")
+	fmt.Fprintf(w, "\n  printf '%s' > operator.key\n", fleet.OperatorKey)
+	fmt.Fprintf(w, "  printf 'address = \"%s\"\\nkey_file = \"operator.key\"\\nplain_text = true\\n' > trefoilctl.toml\n", operators)
+	fmt.Fprintln(w, "  go run ./cmd/trefoilctl upstreams")
+	fmt.Fprintln(w, "  go run ./cmd/trefoilctl 'create account loom rate 100 burst 1000' --wait 5s")
+	return nil
 }
