Hold a claim for each request that may not be repeated

The path sent such requests at most once per entry only.

Change: link/platform/claimstore keeps claims in the platform's table; the entry runs a claim.Machine for each such request in the table of claims and settles rows in the background, also after the caller left; the sidecar is the witness: Reserve with Once gives a grant, Call with Granted uses it up, Call with AskOnly tells what became of it. An Idempotency-Key is required on such routes. Old claims are swept in batches. A caller's limit of time gives only what is true; an answer that is there when the time ends is no longer held back; a caller that leaves during admission no longer leaves its row behind. A refusal for want of a grant, of a quarantined fingerprint or of a refused write is given only after the row was looked at, since it may be a repeat.

Shared types: peer.ReserveRequest.Once, ServiceRequest.Granted and AskOnly, ServiceReply.Fate and Dropped.

--- a/contract/claim/claim.go
+++ b/contract/claim/claim.go
@@ -10,7 +10,7 @@
 
 import (
 	"crypto/sha256"
-	"encoding/binary"
+	"fmt"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -41,8 +41,7 @@
 func hashOf(parts ...string) [sha256.Size]byte {
 	digest := sha256.New()
 	for _, part := range parts {
-		_ = binary.Write(digest, binary.BigEndian, uint64(len(part)))
-		_, _ = digest.Write([]byte(part))
+		_, _ = fmt.Fprintf(digest, "%d:%s", len(part), part)
 	}
 	return [sha256.Size]byte(digest.Sum(nil))
 }
--- a/contract/claim/walk_test.go
+++ b/contract/claim/walk_test.go
@@ -77,6 +77,8 @@
 	noLapse, noGrantNeeded, noCondition, neverWhenForgotten bool
 }
 
+var noGrant = contract.Refuse(contract.CodeNoUpstream, "walk")
+
 type walker struct {
 	guards guards
 	// attempts bounds the attempts of each entry.
@@ -383,7 +385,7 @@
 	switch e.do {
 	case DoGrant:
 		k.each(w, i, func(w *world, m *Machine) Action { w.fates[mine] = FatePending; return m.Granted("s") })
-		k.each(w, i, func(_ *world, m *Machine) Action { return m.NotGranted(contract.RefuseRepeat("x", 0, "")) })
+		k.each(w, i, func(_ *world, m *Machine) Action { return m.NotGranted(noGrant) })
 	case DoClaim:
 		k.stepClaim(w, i)
 	case DoRead:
--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -88,6 +88,11 @@
 	// Layouts keeps the layout of rates; nil means that there is none, which
 	// only a policy that needs no layout can do with.
 	Layouts LayoutStore
+	// Claims keeps the claims of requests that may not be repeated; nil means
+	// that such requests are only kept from being sent twice by this entry.
+	Claims ClaimStore
+	// ClaimSweep says how long claims are kept; DefaultClaimSweep if zero.
+	ClaimSweep ClaimSweep
 	// Instances is the lagging list; nil means that there is none.
 	Instances platform.Instances
 	Recorder  Recorder
@@ -116,6 +121,13 @@
 	life        instance.LifeCycle
 	pool        *pool.Pool
 
+	claimStore ClaimStore
+	claimSweep ClaimSweep
+	// sweepFrom is the row after which the next sweep begins.
+	sweepFrom atomic.Value
+	// duties counts claims that wait to be settled.
+	duties atomic.Int64
+
 	sequence atomic.Uint64
 	// running counts the rows of requests.
 	running  atomic.Int64
@@ -126,6 +138,7 @@
 	rates    *table.Single[rate.Policy]
 	queues   *table.Single[map[contract.RouteName]*routeQueue]
 	requests *table.Striped[contract.RequestID, *request]
+	claims   *table.Striped[contract.RequestID, *claimRun]
 	board    *table.Single[*placement.Board]
 	suspects *table.Single[*quarantine.Table]
 	pollers  *table.Single[map[string]*poller]
@@ -144,6 +157,9 @@
 	if o.Recorder == nil {
 		o.Recorder = noRecorder{}
 	}
+	if o.ClaimSweep == (ClaimSweep{}) {
+		o.ClaimSweep = DefaultClaimSweep
+	}
 	if o.MaxRequests < 1 {
 		o.MaxRequests = DefaultMaxRequests
 	}
@@ -165,6 +181,9 @@
 		newQueue:    o.NewQueue,
 		queues:      table.NewSingle(table.RankQueue, make(map[contract.RouteName]*routeQueue)),
 		requests:    table.NewStriped[contract.RequestID, *request](table.RankRequests, table.DefaultStripes),
+		claimStore:  o.Claims,
+		claimSweep:  o.ClaimSweep,
+		claims:      table.NewStriped[contract.RequestID, *claimRun](table.RankClaims, table.DefaultStripes),
 		board:       table.NewSingle(table.RankBoard, o.Board),
 		suspects:    table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		pollers:     table.NewSingle(table.RankOutbox, make(map[string]*poller)),
@@ -180,13 +199,14 @@
 			e.log.Error("a step panicked", "reason", reason, "stack", string(stack))
 		},
 	})
+	e.sweepFrom.Store("")
 	e.startTimers()
 	return e
 }
 
 // lanes bounds the calls to peers and to the platform.
 func lanes(requests int) map[pool.Lane]int {
-	const polls, platformCalls, spreadCalls, queryCalls, rateCalls = 1024, 16, 64, 128, 256
+	const polls, platformCalls, spreadCalls, queryCalls, rateCalls, claimCalls = 1024, 16, 64, 128, 256, 256
 	return map[pool.Lane]int{
 		laneReserve:  maxReserving * 2,
 		lanePrefill:  requests,
@@ -198,6 +218,7 @@
 		laneSpread:   spreadCalls,
 		laneQuery:    queryCalls,
 		laneRates:    rateCalls,
+		laneClaims:   claimCalls,
 	}
 }
 
@@ -212,14 +233,15 @@
 	return e.life.State()
 }
 
-// Drain refuses new requests and waits until the running ones have ended, or ctx
+// Drain refuses new requests and waits until the running ones have ended and
+// their claims are settled, or ctx
 // ends.
 func (e *Entry) Drain(ctx context.Context) error {
 	e.life.Advance(instance.Draining)
 	e.pool.Resume(e.handBackRates)
 	ticker := time.NewTicker(TickEvery)
 	defer ticker.Stop()
-	for e.running.Load() > 0 {
+	for e.running.Load() > 0 || e.duties.Load() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -16,7 +16,9 @@
 
 // Serve implements contract.Server.
 func (e *Entry) Serve(ctx context.Context, in contract.Incoming, sink contract.Sink) *contract.Refusal {
-	admitted, err := pool.Ask(ctx, e.pool, func(h *table.Held, answer func(admission)) []pool.Effect {
+	// Admission is short, and what was admitted has to be removed again, so a
+	// caller that leaves meanwhile is noticed after it.
+	admitted, err := pool.Ask(context.WithoutCancel(ctx), e.pool, func(h *table.Held, answer func(admission)) []pool.Effect {
 		return e.admit(h, in, answer)
 	})
 	if err != nil {
@@ -73,6 +75,9 @@
 			return nil, refusal
 		}
 	}
+	if refusal := e.needsKey(route, in); refusal != nil {
+		return nil, refusal
+	}
 	now := e.clock.Now()
 	r := &request{
 		Request: contract.Request{
@@ -90,7 +95,7 @@
 		wake: make(chan struct{}, 1),
 	}
 	r.Fingerprint = fingerprint(r)
-	if refusal := e.quarantined(h, r.Fingerprint); refusal != nil {
+	if refusal := e.quarantined(h, r.Fingerprint); refusal != nil && !e.keepsClaims(r.Route) {
 		return nil, refusal
 	}
 	return r, nil
@@ -137,14 +142,17 @@
 
 // charged goes on with a request whose cost was taken.
 func (e *Entry) charged(h *table.Held, id contract.RequestID, cost contract.Tokens) []pool.Effect {
-	service := false
+	service, once := false, false
 	found := e.update(h, id, func(r *request) {
 		r.charged = cost
 		service = r.Call != nil
+		once = e.keepsClaims(r.Route)
 	})
 	switch {
 	case !found:
 		return nil
+	case service && once:
+		return e.startClaim(h, id)
 	case service:
 		return e.startCall(h, id)
 	default:
@@ -171,11 +179,11 @@
 		select {
 		case <-r.wake:
 		case <-ctx.Done():
-			return e.abandon(ctx, h, r.ID)
+			return e.abandon(ctx, h, r, sink)
 		}
 		out := e.takeOutput(h, r)
 		if err := write(out, sink); err != nil {
-			return e.abandon(ctx, h, r.ID)
+			return e.abandon(ctx, h, r, sink)
 		}
 		if out.ended {
 			return out.refusal
@@ -220,15 +228,21 @@
 }
 
 // abandon ends a request whose caller left or whose time is over. What the
-// steps have ended before stands.
-func (e *Entry) abandon(ctx context.Context, h *table.Held, id contract.RequestID) *contract.Refusal {
+// steps have ended before stands: its answer is not held back.
+func (e *Entry) abandon(ctx context.Context, h *table.Held, r *request, sink contract.Sink) *contract.Refusal {
 	var refusal *contract.Refusal
-	e.update(h, id, func(r *request) { refusal = r.cutShort(context.Cause(ctx)) })
-	if refusal == nil {
-		return contract.Refuse(contract.CodeCanceled, "the caller left")
+	e.update(h, r.ID, func(r *request) { refusal = r.cutShort(context.Cause(ctx)) })
+	if refusal != nil {
+		if truth, ok := e.claimTimeUp(h, r.ID, refusal.Code, refusal.Reason); ok {
+			refusal = truth
+		}
+		e.pool.Start(e.finish(h, r.ID, refusal)...)
 	}
-	e.pool.Start(e.finish(h, id, refusal)...)
-	return refusal
+	out := e.takeOutput(h, r)
+	if err := write(out, sink); err != nil {
+		return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanYes, Reason: "the caller left"}
+	}
+	return out.refusal
 }
 
 // cutShort is the refusal of a request that is ended from outside.
--- a/instance/entry/spread.go
+++ b/instance/entry/spread.go
@@ -179,6 +179,9 @@
 		}
 	})
 	for id, refusal := range cut {
+		if truth, ok := e.claimTimeUp(h, id, refusal.Code, refusal.Reason); ok {
+			refusal = truth
+		}
 		effects = append(effects, e.finish(h, id, refusal)...)
 	}
 	return effects
--- a/instance/entry/timers.go
+++ b/instance/entry/timers.go
@@ -25,6 +25,9 @@
 // startTimers starts the recurring work.
 func (e *Entry) startTimers() {
 	e.pool.Resume(e.tick)
+	if e.claimStore != nil {
+		e.pool.After(e.claimSweep.Every, e.sweepClaims)
+	}
 	e.pool.Resume(e.refresh)
 	e.pool.Resume(e.heartbeat)
 	e.pool.Resume(e.greetSidecars)
--- a/instance/sidecar/reserve.go
+++ b/instance/sidecar/reserve.go
@@ -37,6 +37,9 @@
 				ReadyIn:      q.ReadyIn,
 			})
 		})
+		if reply.Refusal == nil && q.Once {
+			reply.Refusal = s.grantOnce(h, q.Call)
+		}
 		reply.WindowIn = grant.WindowIn
 		reply.Lease = grant.Lease
 	}
--- a/instance/sidecar/service.go
+++ b/instance/sidecar/service.go
@@ -32,6 +32,10 @@
 		return nil
 	}
 	s.heard(h, q.Header)
+	if q.AskOnly {
+		answer(s.tellFate(h, q.Call))
+		return nil
+	}
 	refusal := s.refuseNewWork(h, q.Fingerprint)
 	if refusal == nil {
 		s.ledger.With(h, func(l **engine.Ledger) {
@@ -42,6 +46,14 @@
 		reply(h, contract.ServiceAnswer{}, refusal)
 		return nil
 	}
+	if q.Granted {
+		refusal = s.sendOnce(h, q.Call)
+	}
+	if refusal != nil {
+		s.release(h, q.Call)
+		reply(h, contract.ServiceAnswer{}, refusal)
+		return nil
+	}
 	r := &running{call: q.Call, owner: q.From.Name, once: q.Once}
 	if !s.begin(h, r) {
 		reply(h, contract.ServiceAnswer{}, &contract.Refusal{Code: contract.CodeOutcomeUnknown, Ran: contract.RanUnknown, Reason: "the call already runs here"})
@@ -51,6 +63,9 @@
 		return func(h *table.Held) []pool.Effect {
 			s.end(h, r)
 			s.release(h, q.Call)
+			if q.Granted {
+				s.finishOnce(h, q.Call, a, refusal)
+			}
 			reply(h, a, refusal)
 			return nil
 		}
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/claim"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
@@ -79,6 +80,7 @@
 	revision atomic.Uint64
 
 	suspects *table.Single[suspects]
+	witness  *table.Single[*claim.Witness]
 	ledger   *table.Single[*engine.Ledger]
 	calls    *table.Striped[callKey, *running]
 	orders   *table.Single[*orders.Gate]
@@ -105,10 +107,11 @@
 		suspects: table.NewSingle(table.RankQuarantine, suspects{
 			table: quarantine.New(quarantine.Options{}),
 		}),
-		orders: table.NewSingle(table.RankOrders, orders.NewGate()),
-		ledger: table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
-		calls:  table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
-		output: table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
+		orders:  table.NewSingle(table.RankOrders, orders.NewGate()),
+		witness: table.NewSingle(table.RankClaims, claim.NewWitness()),
+		ledger:  table.NewSingle(table.RankLedger, engine.NewLedger(o.Upstream, o.Limits)),
+		calls:   table.NewStriped[callKey, *running](table.RankCalls, table.DefaultStripes),
+		output:  table.NewStriped[instance.Name, *outbox](table.RankOutbox, table.DefaultStripes),
 	}
 	s.pool = pool.New(pool.Options{
 		Workers: o.Workers,
--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/claimstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/layoutstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
@@ -59,6 +60,7 @@
 	options.Peers = dials
 	options.Config = configstore.New(client.Table(), client.Objects())
 	options.Instances = client.Instances()
+	options.Claims = claimstore.New(client.Table())
 	options.Layouts = layoutstore.New(client.Table())
 	n := &EntryNode{Place: place, entry: entry.New(options), dials: dials, platform: client}
 	f.Entries = append(f.Entries, n)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -15,12 +15,18 @@
 )
 
 func start(t *testing.T, name string) *fleet.Fleet {
+	t.Helper()
+	return startWith(t, name, 20)
+}
+
+// startWith brings up a fleet for some requests a second.
+func startWith(t *testing.T, name string, perSecond float64) *fleet.Fleet {
 	t.Helper()
 	w, err := fleet.Find(name)
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.SetRates(20, 2, 10*time.Second)
+	w.SetRates(perSecond, 2, 10*time.Second)
 	f, err := fleet.Start(t.Context(), fleet.Options{Workload: w, Policy: fleet.DefaultPolicy, Seed: 1})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -19,6 +19,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/claimstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/layoutstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
@@ -89,6 +90,11 @@
 	return p, p.serve(s, listeners, operators)
 }
 
+// sweepOf says how long claims are kept.
+func sweepOf(s settings.Claims) entry.ClaimSweep {
+	return entry.ClaimSweep{Keep: s.Keep.Duration, Every: s.SweepEvery.Duration, Batch: s.SweepBatch}
+}
+
 // openEntry opens the listeners, or none.
 func openEntry(s settings.Entry, network Network) (l entryListeners, err error) {
 	opened, err := openAll(network, s.Peer, s.Operator, s.Caller)
@@ -133,6 +139,8 @@
 		Peers:       p.dials,
 		Config:      p.store,
 		Layouts:     layoutstore.New(p.platform.Table()),
+		Claims:      claimstore.New(p.platform.Table()),
+		ClaimSweep:  sweepOf(s.Claims),
 		Instances:   p.platform.Instances(),
 		Log:         p.log,
 	}, nil
--- a/link/peer/sidecar.go
+++ b/link/peer/sidecar.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/claim"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
@@ -46,6 +47,8 @@
 	Priority     int
 	// ReadyIn is when the KV cache can be there at the earliest.
 	ReadyIn time.Duration
+	// Once asks for a grant to send a call that may not be repeated.
+	Once bool
 }
 
 // ReserveReply holds either a grant or a refusal.
@@ -118,6 +121,10 @@
 	Within time.Duration
 	// Once marks calls that may not be repeated.
 	Once bool
+	// Granted calls are sent only under a grant made by Reserve with Once.
+	Granted bool
+	// AskOnly sends nothing and asks what became of Call.
+	AskOnly bool
 }
 
 // ServiceReply holds either an answer or a refusal.
@@ -126,6 +133,10 @@
 	Load    upstream.Load
 	Answer  contract.ServiceAnswer
 	Refusal *contract.Refusal
+	// Fate answers AskOnly; Answer is set if it is claim.FateDone, without its
+	// body if Dropped.
+	Fate    claim.Fate
+	Dropped bool
 }
 
 // CancelRequest ends calls.
