--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -86,7 +86,6 @@
 		e.observe(h, nil, []upstream.ID{choice.ID})
 	} else {
 		e.observe(h, []upstream.Load{reply.Load}, nil)
-		e.heardNotes(h, reply.Header)
 		refusal = reply.Refusal
 	}
 	if refusal == nil {
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -129,6 +129,7 @@
 // memberHeard notes a message of another instance. Of a sidecar only its
 // availability zone is of interest here.
 func (e *Entry) memberHeard(h *table.Held, kind zone.Kind, addr string, head *peer.Header) {
+	e.heardNotes(h, head)
 	now := e.clock.Now()
 	from := zone.Member{
 		Name:        string(head.From.Name),
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -103,7 +103,6 @@
 func (e *Entry) polled(h *table.Held, addr string, reply *peer.PollReply) (effects []pool.Effect) {
 	e.observe(h, []upstream.Load{reply.Load}, nil)
 	useful := false
-	e.heardNotes(h, reply.Header)
 	for _, chunk := range reply.Chunks {
 		more, current := e.generated(h, chunk)
 		effects = append(effects, more...)
@@ -248,6 +247,7 @@
 		return false
 	}
 	r.state = stateDecoding
+	r.imported = true
 	r.next += contract.Tokens(len(chunk.Texts))
 	r.time(now)
 	if chunk.Done {
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -102,8 +102,8 @@
 		log:     o.Log,
 		engine:  o.Engine,
 		service: o.Service,
-		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		fences:  o.Fences,
+		config:  table.NewSingle(table.RankConfig, config.NewSpread(0)),
 		suspects: table.NewSingle(table.RankQuarantine, suspects{
 			table: quarantine.New(quarantine.Options{}),
 		}),
--- /dev/null
+++ b/internal/process/examples_test.go
@@ -0,0 +1,32 @@
+package process
+
+import (
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/trefoilwalk/trefoilwalk/link/operator/shell"
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
+)
+
+// TestExamples checks every example settings file as --check does.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/*.toml")
+	if err != nil || len(files) < 14 {
+		t.Fatalf("%d example files, %v", len(files), err)
+	}
+	for _, file := range files {
+		name := filepath.Base(file)
+		switch {
+		case strings.HasPrefix(name, "entry"):
+			_, err = settings.LoadEntry(file)
+		case strings.HasPrefix(name, "sidecar"):
+			_, err = settings.LoadSidecar(file)
+		default:
+			_, err = shell.ReadSettings(file)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
