--- a/instance/sidecar/output.go
+++ b/instance/sidecar/output.go
@@ -181,7 +181,7 @@
 	}
 	h := table.NewHeld()
 	return &peer.PollReply{
-		Header: s.header(h),
+		Header: s.header(),
 		Load:   s.load(h),
 		Chunks: first.chunks,
 		Lost:   first.lost,
--- a/instance/sidecar/sidecar.go
+++ b/instance/sidecar/sidecar.go
@@ -79,6 +79,9 @@
 	// revision repeats the one in force, so that headers need no lock.
 	revision atomic.Uint64
 
+	// cacheSeq is the last cache event that was read from the engine.
+	cacheSeq atomic.Uint64
+
 	suspects *table.Single[suspects]
 	witness  *table.Single[*claim.Witness]
 	ledger   *table.Single[*engine.Ledger]
@@ -149,8 +152,8 @@
 }
 
 // header opens a reply.
-func (s *Sidecar) header(h *table.Held) peer.Header {
-	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(h)}
+func (s *Sidecar) header() peer.Header {
+	return peer.Header{From: s.self, Revision: contract.Revision(s.revision.Load()), Quarantine: s.notes(table.NewHeld())}
 }
 
 // load reads what the upstream can take.
