--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -18,6 +18,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/claimstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/layoutstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
@@ -88,6 +89,11 @@
 	return p, p.serve(s, listeners, operators)
 }
 
+// sweepOf says how long claims are kept.
+func sweepOf(s settings.Claims) entry.ClaimSweep {
+	return entry.ClaimSweep{Keep: s.Keep.Duration, Every: s.SweepEvery.Duration, Batch: s.SweepBatch}
+}
+
 // openEntry opens the listeners, or none.
 func openEntry(s settings.Entry, o Options) (l entryListeners, err error) {
 	opened, err := openAll(o, s.Peer, s.Operator, s.Caller)
@@ -132,6 +138,8 @@
 		Peers:       p.dials,
 		Config:      p.store,
 		Layouts:     layoutstore.New(p.platform.Table()),
+		Claims:      claimstore.New(p.platform.Table()),
+		ClaimSweep:  sweepOf(s.Claims),
 		Instances:   p.platform.Instances(),
 		Log:         p.log,
 	}, nil
