Assemble the development fleet with the programs' own code

The fleet put entries and sidecars together by itself, so a run said nothing of how the programs assemble them from settings. It now fills in settings and starts package process, with a network between that can be cut, and gives operators' listeners, so that quickstart says how to use trefoilctl.

Ruled out: giving fresh entries their burst, which breaks the bound after a restart.

--- a/cmd/trefoil-dev/quickstart.go
+++ b/cmd/trefoil-dev/quickstart.go
@@ -45,7 +45,7 @@
 		text = io.Discard
 	}
 	fmt.Fprintln(text, "Bringing up the fleet ...")
-	f, err := fleet.Start(ctx, fleet.Options{Workload: w, Policy: fleet.DefaultPolicy, Seed: 1})
+	f, err := fleet.Start(ctx, fleet.Options{Workload: w, Policy: fleet.DefaultPolicy})
 	if err != nil {
 		return err
 	}
@@ -83,6 +83,7 @@
 	for _, row := range rows {
 		fmt.Fprintf(w, "%-21s %d of %d got their own whole answer\n", row.name, row.counts.Right, row.counts.Sent)
 	}
+	fmt.Fprintf(w, "%-21s %d\n", "repeated as told", s.Repeated)
 	fmt.Fprintf(w, "%-21s %d\n", "keys seen upstream", s.KeysSeen)
 	fmt.Fprintf(w, "%-21s %d\n", "engine memory held", s.Held)
 	fmt.Fprintf(w, "%-21s %d ms\n", "time taken", s.TookMS)
@@ -98,4 +99,9 @@
 	fmt.Fprintf(w, "\n  curl -N %s/v1/completions -H 'Authorization: Bearer %s' \\\n", f.Entries[0].URL, account.Key)
 	fmt.Fprintf(w, "    -d '{\"model\":\"%s\",\"prompt\":\"warp over weft\",\"max_tokens\":20,\"stream\":true}'\n", f.Workload.Model)
 	fmt.Fprintf(w, "\n  curl %s%scoils -H 'Authorization: Bearer %s'\n", f.Entries[1].URL, f.Workload.FreePath, account.Key)
+	fmt.Fprintln(w, "\nAsk what is running and where, or change something, as an operator:")
+	fmt.Fprintf(w, "\n  echo %s > operator.key\n", fleet.OperatorKey)
+	fmt.Fprintf(w, "  printf 'address = \"%s\"\\nkey_file = \"operator.key\"\\nplain_text = true\\n' > trefoilctl.toml\n", f.Entries[0].OperatorAddr)
+	fmt.Fprintln(w, "  go run ./cmd/trefoilctl \"upstreams where role = decode order by name\"")
+	fmt.Fprintf(w, "  go run ./cmd/trefoilctl --wait 5s \"set account %s weight 2\"\n", account.ID)
 }
--- a/contract/fair/fair.go
+++ b/contract/fair/fair.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// Maker returns a function that makes queues of the given name.
+func Maker(name string, limit int) (func() Queue, error) {
+	if _, err := New(name, limit); err != nil {
+		return nil, err
+	}
+	return func() Queue {
+		queue, _ := New(name, limit)
+		return queue
+	}, nil
+}
+
 // RepeatAfter is the wait asked of callers that are refused by a full queue.
 const RepeatAfter = time.Second
 
--- a/internal/experiment/options.go
+++ b/internal/experiment/options.go
@@ -100,7 +100,7 @@
 		return fmt.Errorf("%w: load must be above 0", ErrOptions)
 	}
 	if o.Rates == "" {
-		o.Rates = rate.PolicyFixedSplit
+		o.Rates = rate.DefaultPolicy
 	}
 	return nil
 }
--- a/internal/experiment/plan.go
+++ b/internal/experiment/plan.go
@@ -208,7 +208,7 @@
 	}
 	buckets := make([]bucket, len(p.workload.Accounts))
 	for i, a := range p.workload.Accounts {
-		buckets[i].tokens = float64(a.Rate.Burst)
+		buckets[i].tokens = min(float64(a.Rate.Burst), float64(a.Rate.PerSecond)*warmAccrue.Seconds())
 	}
 	for _, q := range p.requests {
 		b, limit := &buckets[q.account], p.workload.Accounts[q.account].Rate
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -43,7 +43,6 @@
 type Options struct {
 	Workload Workload
 	Policy   Policy
-	Seed     uint64
 	Log      hclog.Logger
 	// OnEngineStart and OnEngineFree are told when a call starts to use an
 	// engine and when its memory is free. They must not block.
@@ -99,8 +98,8 @@
 	if err := f.configure(ctx); err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
-	for i, z := range f.Workload.Zones {
-		if err := f.startEntry(i, z); err != nil {
+	for _, z := range f.Workload.Zones {
+		if err := f.startEntry(z); err != nil {
 			return fmt.Errorf("entry in %s: %w", z, err)
 		}
 	}
@@ -110,7 +109,7 @@
 func (f *Fleet) startPlatform() error {
 	f.Platform.Store.SetRates(storeReads, storeWrites)
 	f.Platform.Instances.SetLag(listLag)
-	l, err := f.network.listen(clients, "")
+	l, err := f.network.listen(clients, loopback)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -30,9 +30,6 @@
 
 // listen opens a listener on the loopback in a zone.
 func (n *network) listen(z zone.AvailabilityZone, addr string) (net.Listener, error) {
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
@@ -147,3 +144,29 @@
 		}
 	}
 }
+
+// local is the network as one zone sees it. It implements process.Network.
+type local struct {
+	*network
+	zone zone.AvailabilityZone
+}
+
+// in gives the network of a zone.
+func (n *network) in(z zone.AvailabilityZone) local {
+	return local{n, z}
+}
+
+// Listen implements process.Network.
+func (l local) Listen(addr string) (net.Listener, error) {
+	return l.listen(l.zone, addr)
+}
+
+// Dial implements process.Network.
+func (l local) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	return l.dialer(l.zone)(ctx, addr)
+}
+
+// Transport implements process.Network.
+func (l local) Transport() http.RoundTripper {
+	return l.transport(l.zone)
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -2,32 +2,29 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
-	"github.com/trefoilwalk/trefoilwalk/instance/sidecar"
+	"github.com/trefoilwalk/trefoilwalk/internal/process"
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/engine"
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/service"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
-	"github.com/trefoilwalk/trefoilwalk/link/upstream/engineapi"
-	"github.com/trefoilwalk/trefoilwalk/link/upstream/serviceapi"
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
-	ledger "github.com/trefoilwalk/trefoilwalk/upstream/engine"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
 // Sizes of the stand-ins.
 const (
-	engineBlocks  = 160
-	prefillSlots  = 16
-	serviceSlots  = 32
-	serviceTakes  = 5 * time.Millisecond
-	restartAfter  = time.Second
-	maxWindowWait = 2 * time.Second
-	// maxQueuedFor bounds the prompts that a prefill engine accepts, by the
-	// time that they take it.
+	engineBlocks = 160
+	serviceSlots = 32
+	serviceTakes = 5 * time.Millisecond
+	restartAfter = time.Second
+	// prefillSlots are the prompts that a prefill engine may be sent at a time.
+	prefillSlots = 16
+	// maxQueuedFor bounds the prompts that a prefill engine accepts, in seconds
+	// of its work.
 	maxQueuedFor = 2
 )
 
@@ -35,22 +32,19 @@
 type EngineNode struct {
 	Upstream upstream.Upstream
 	Engine   *engine.Engine
-	sidecar  *sidecar.Sidecar
-	peers    *peerListener
-	client   *engineapi.Client
+	sidecar  *process.Sidecar
 }
 
 // ServiceNode is a plain service and the sidecar beside it.
 type ServiceNode struct {
 	Upstream upstream.Upstream
 	Service  *service.Service
-	sidecar  *sidecar.Sidecar
-	peers    *peerListener
+	sidecar  *process.Sidecar
 }
 
 func (f *Fleet) startEngine(role upstream.Role, i int) error {
 	place := f.place(i)
-	l, err := f.network.listen(place.Zone, "")
+	l, err := f.network.listen(place.Zone, loopback)
 	if err != nil {
 		return err
 	}
@@ -73,19 +67,24 @@
 			OnStart:      f.options.OnEngineStart,
 			OnFree:       f.options.OnEngineFree,
 		}),
-		client: engineapi.New(url, nil),
 	}
 	n.Engine.SetTransport(f.kvTransport(place.Zone))
 	f.serve(l, n.Engine.Handler())
 	f.Engines = append(f.Engines, n)
-	n.sidecar = sidecar.New(sidecar.Options{
-		Self:     identity(string(n.Upstream.ID), place),
-		Upstream: n.Upstream.ID,
-		Limits:   engineLimits(role),
-		Engine:   n.client,
-		Log:      f.options.Log,
-	})
-	n.peers, err = f.startSidecarPeers(&n.Upstream, n.sidecar)
+	s := settings.DefaultSidecar()
+	s.Upstream.Kind = settings.KindEngine
+	s.Upstream.Role = role.String()
+	s.Upstream.Models = []string{string(f.Workload.Model)}
+	s.Upstream.Slots = engine.DefaultSlots
+	s.Upstream.Blocks = engineBlocks
+	s.Upstream.LinkBlocksPerSecond = engine.DefaultLinkRate
+	s.Upstream.PrefillPerSecond = int64(engine.DefaultPrefillPerSecond)
+	s.Upstream.ChecksFencing = i%2 == 0
+	if role == upstream.RolePrefill {
+		s.Upstream.Slots = prefillSlots
+		s.Upstream.MaxQueuedTokens = maxQueuedFor * int64(engine.DefaultPrefillPerSecond)
+	}
+	n.sidecar, err = f.startSidecar(s, &n.Upstream, url)
 	return err
 }
 
@@ -96,26 +95,9 @@
 	return transport
 }
 
-// engineLimits are what a sidecar knows of its engine.
-func engineLimits(role upstream.Role) ledger.Limits {
-	limits := ledger.Limits{
-		Role:                role,
-		Slots:               engine.DefaultSlots,
-		Blocks:              engineBlocks,
-		LinkBlocksPerSecond: engine.DefaultLinkRate,
-		PrefillPerSecond:    engine.DefaultPrefillPerSecond,
-		MaxWindowWait:       maxWindowWait,
-	}
-	if role == upstream.RolePrefill {
-		limits.Slots = prefillSlots
-		limits.MaxQueuedTokens = engine.DefaultPrefillPerSecond * maxQueuedFor
-	}
-	return limits
-}
-
 func (f *Fleet) startService(i int) error {
 	place := f.place(i)
-	l, err := f.network.listen(place.Zone, "")
+	l, err := f.network.listen(place.Zone, loopback)
 	if err != nil {
 		return err
 	}
@@ -135,61 +117,55 @@
 	}
 	f.serve(l, n.Service.Handler())
 	f.Services = append(f.Services, n)
-	client, err := serviceapi.New("http://"+l.Addr().String(), nil)
-	if err != nil {
-		return err
-	}
-	n.sidecar = sidecar.New(sidecar.Options{
-		Self:     identity(string(n.Upstream.ID), place),
-		Upstream: n.Upstream.ID,
-		Limits:   ledger.Limits{Role: upstream.RoleService, Slots: serviceSlots},
-		Service:  client,
-		Log:      f.options.Log,
-	})
-	n.peers, err = f.startSidecarPeers(&n.Upstream, n.sidecar)
+	s := settings.DefaultSidecar()
+	s.Upstream.Kind = settings.KindService
+	s.Upstream.Slots = serviceSlots
+	n.sidecar, err = f.startSidecar(s, &n.Upstream, "http://"+l.Addr().String())
 	return err
 }
 
-// startSidecarPeers opens a sidecar's listener and lists the instance.
-func (f *Fleet) startSidecarPeers(u *upstream.Upstream, s *sidecar.Sidecar) (*peerListener, error) {
-	l, err := f.network.listen(u.Place.Zone, "")
+// startSidecar starts the sidecar beside an upstream and lists the instance.
+func (f *Fleet) startSidecar(s settings.Sidecar, u *upstream.Upstream, url string) (*process.Sidecar, error) {
+	s.Where = settings.Where{Name: string(u.ID), Region: string(u.Place.Region), Zone: string(u.Place.Zone)}
+	s.Peer, s.Operator = plainListener, plainListener
+	s.Platform.URL = f.storeURL
+	s.Operators = operators()
+	s.Upstream.ID = string(u.ID)
+	s.Upstream.URL = url
+	p, err := process.StartSidecar(s, process.Options{Log: f.options.Log, Network: f.network.in(u.Place.Zone)})
 	if err != nil {
 		return nil, err
 	}
-	u.SidecarAddr = l.Addr().String()
-	f.list(string(u.ID), "sidecar", l, u.Place)
-	return listenPeers(l, nil, s)
-}
-
-// list puts an instance on the platform's list.
-func (f *Fleet) list(name, kind string, l net.Listener, place zone.Place) {
-	f.Platform.Instances.Put(platform.Listed{Name: name, Kind: kind, Addr: l.Addr().String(), Place: place})
+	u.SidecarAddr = p.PeerAddr
+	f.list(*u, false)
+	return p, nil
 }
 
 // Leave marks an upstream on the platform's list as leaving.
 func (f *Fleet) Leave(u upstream.Upstream) {
+	f.list(u, true)
+}
+
+func (f *Fleet) list(u upstream.Upstream, leaving bool) {
 	f.Platform.Instances.Put(platform.Listed{
-		Name: string(u.ID), Kind: "sidecar", Addr: u.SidecarAddr, Place: u.Place, Leaving: true,
+		Name:    string(u.ID),
+		Kind:    "sidecar",
+		Addr:    u.SidecarAddr,
+		Place:   u.Place,
+		Leaving: leaving,
 	})
 }
 
 func (n *EngineNode) close() {
 	n.Engine.Close()
-	if n.peers != nil {
-		n.peers.close()
-	}
 	if n.sidecar != nil {
-		n.sidecar.Close()
+		n.sidecar.Kill()
 	}
-	n.client.Close()
 }
 
 func (n *ServiceNode) close() {
 	n.Service.Crash()
-	if n.peers != nil {
-		n.peers.close()
-	}
 	if n.sidecar != nil {
-		n.sidecar.Close()
+		n.sidecar.Kill()
 	}
 }
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -57,6 +57,8 @@
 	Message string        `json:"message"`
 	Ran     string        `json:"ran"`
 	Repeat  bool          `json:"repeat"`
+	// RetryAfterMS is the wait asked for, in milliseconds.
+	RetryAfterMS int64 `json:"retry_after_ms"`
 }
 
 // Answer is what a caller saw of one request.
@@ -121,6 +123,27 @@
 	return a
 }
 
+// leastWait is the wait before a repeat when the refusal asks for none.
+const leastWait = 100 * time.Millisecond
+
+// Persist makes a request again after refusals that allow it, as often as tries
+// says, and counts the refusals.
+func Persist(ctx context.Context, tries int, request func() Answer) (a Answer, refused int) {
+	for {
+		a = request()
+		if a.Refusal == nil || !a.Refusal.Repeat || refused == tries {
+			return a, refused
+		}
+		refused++
+		wait := time.Duration(a.Refusal.RetryAfterMS) * time.Millisecond
+		select {
+		case <-time.After(max(wait, leastWait)):
+		case <-ctx.Done():
+			return a, refused
+		}
+	}
+}
+
 // Call makes one call of a plain service. idempotencyKey may be empty.
 func (c *Client) Call(ctx context.Context, method, url, key, idempotencyKey, body string) (a Answer) {
 	resp, err := c.send(ctx, method, url, key, idempotencyKey, []byte(body))
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/instance"
@@ -118,6 +119,10 @@
 	if err != nil {
 		return entry.Options{}, err
 	}
+	newQueue, err := fair.Maker(s.Placement.Queue, s.Limits.Running)
+	if err != nil {
+		return entry.Options{}, err
+	}
 	p.store = configstore.New(p.platform.Table(), p.platform.Objects())
 	return entry.Options{
 		Self:        self,
@@ -129,7 +134,7 @@
 		MaxRequests: s.Limits.Running,
 		Board:       board,
 		Rates:       rates,
-		NewQueue:    func() fair.Queue { return fair.NewWeighted(s.Limits.Running) },
+		NewQueue:    newQueue,
 		Peers:       p.dials,
 		Config:      p.store,
 		Layouts:     layoutstore.New(p.platform.Table()),
@@ -181,6 +186,16 @@
 	}
 }
 
+// State gives where the entry stands in its life.
+func (p *Entry) State() instance.State {
+	return p.core.State()
+}
+
+// Revision is that of the configuration in force.
+func (p *Entry) Revision() contract.Revision {
+	return p.core.Snapshot().Revision
+}
+
 // ready says whether the balancer should send requests here.
 func (p *Entry) ready() (ok bool, reason string) {
 	state := p.core.State()
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -21,6 +21,9 @@
 const (
 	roundsPerAccount = 6
 	outputTokens     = 24
+	// tries is how often a caller repeats a refused request, as it is told to:
+	// entries that just started have no tokens of any account yet.
+	tries = 10
 	// settleTime is how long after the last answer nothing may be held any
 	// more: an unused prefill's result stays for the longest.
 	settleTime = engine.DefaultEvictAfter + 200*time.Millisecond
@@ -42,6 +45,9 @@
 	Streamed Counts `json:"streamed"`
 	Whole    Counts `json:"whole"`
 	Calls    Counts `json:"calls"`
+	// Repeated counts the requests that were sent again after a refusal that
+	// allowed it.
+	Repeated int `json:"repeated"`
 	// Wrong describes the requests that got another answer or none.
 	Wrong []string `json:"wrong"`
 	// KeysSeen counts requests at upstreams that contained a caller's key.
@@ -107,14 +113,15 @@
 		counts, kind = &r.summary.Streamed, "streamed"
 		seed++
 	}
-	a := r.client.Generate(ctx, url, load.Generate{
+	q := load.Generate{
 		Key:       account.Key,
 		Model:     r.fleet.Workload.Model,
 		Prompt:    prompt,
 		MaxTokens: outputTokens,
 		Seed:      seed,
 		Stream:    stream,
-	})
+	}
+	a := r.persist(ctx, func() load.Answer { return r.client.Generate(ctx, url, q) })
 	want := strings.Join(engine.Expected(prompt, seed, outputTokens), "")
 	r.count(counts, kind, account, a, want)
 }
@@ -123,10 +130,18 @@
 	body := fmt.Sprintf("%s looks up order %d", account.ID, round)
 	call := contract.ServiceCall{Method: http.MethodPost, Path: "/order", Body: []byte(body)}
 	path := strings.TrimSuffix(r.fleet.Workload.FreePath, "/") + call.Path
-	a := r.client.Call(ctx, call.Method, url+path, account.Key, "", body)
+	a := r.persist(ctx, func() load.Answer { return r.client.Call(ctx, call.Method, url+path, account.Key, "", body) })
 	r.count(&r.summary.Calls, "call", account, a, service.Expected(call))
 }
 
+func (r *run) persist(ctx context.Context, request func() load.Answer) load.Answer {
+	a, refused := load.Persist(ctx, tries, request)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.summary.Repeated += refused
+	return a
+}
+
 // count takes one answer into the summary.
 func (r *run) count(counts *Counts, kind string, account fleet.Account, a load.Answer, want string) {
 	r.mu.Lock()
--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/zone"
@@ -85,6 +86,9 @@
 	Policy string `toml:"policy"`
 	// Watch is how many upstreams of each pool are watched; default 16.
 	Watch int `toml:"watch"`
+	// Queue is the order in which waiting requests start: "weighted" between
+	// client accounts by slack and weight, or "fifo"; default "weighted".
+	Queue string `toml:"queue"`
 }
 
 // Policies of placement.
@@ -120,7 +124,7 @@
 		Workers:   defaultWorkers,
 		Limits:    defaultCallerLimits(),
 		Rates:     Rates{Policy: rate.DefaultPolicy, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
-		Placement: Placement{Policy: PlacementReserve, Watch: 16},
+		Placement: Placement{Policy: PlacementReserve, Watch: 16, Queue: fair.QueueWeighted},
 		Trust:     Trust{Rule: zone.DefaultTrustRule.String()},
 		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
 		Drain:     defaultDrain(),
@@ -197,6 +201,7 @@
 
 func (s *Entry) checkPolicies(c *checker) {
 	c.oneOf("placement.policy", s.Placement.Policy, PlacementReserve, PlacementLeastLoaded, PlacementRandomOfTwo)
+	c.oneOf("placement.queue", s.Placement.Queue, fair.QueueWeighted, fair.QueueFIFO)
 	between(c, "placement.watch", s.Placement.Watch, 1, 1000)
 	c.oneOf("trust.rule", s.Trust.Rule, zone.Majority.String(), zone.StoreOnly.String(), zone.Always.String())
 	c.duration("claims.keep", s.Claims.Keep, time.Minute, 90*24*time.Hour)
