--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -62,6 +62,11 @@
 	perform := func(ctx context.Context) pool.Step {
 		ctx, cancel := context.WithTimeout(ctx, q.Within)
 		defer cancel()
+		if !q.Once {
+			// A call that may not be repeated waits for its outcome as long
+			// as it may.
+			e.waits(q.Call, cancel)
+		}
 		reply, err := e.peers.Sidecar(choice.Addr).Call(ctx, &q)
 		return func(h *table.Held) []pool.Effect {
 			return e.called(h, choice, &q, reply, err)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
@@ -123,6 +124,10 @@
 	if err != nil {
 		return entry.Options{}, err
 	}
+	newQueue, err := fair.Maker(s.Placement.Queue, s.Limits.Running)
+	if err != nil {
+		return entry.Options{}, err
+	}
 	p.store = configstore.New(p.platform.Table(), p.platform.Objects())
 	return entry.Options{
 		Self:        self,
@@ -134,7 +139,7 @@
 		MaxRequests: s.Limits.Running,
 		Board:       board,
 		Rates:       rates,
-		NewQueue:    func() fair.Queue { return fair.NewWeighted(s.Limits.Running) },
+		NewQueue:    newQueue,
 		Peers:       p.dials,
 		Config:      p.store,
 		Layouts:     layoutstore.New(p.platform.Table()),
@@ -189,6 +194,16 @@
 	}
 }
 
+// Ready reports whether the balancer should send requests here, and if not, why.
+func (p *Entry) Ready() (ok bool, reason string) {
+	return p.core.Ready()
+}
+
+// Revision is that of the configuration in force.
+func (p *Entry) Revision() contract.Revision {
+	return p.core.Snapshot().Revision
+}
+
 // Shutdown ends the entry gracefully: the balancer is told first, then new
 // requests are refused, and the running ones finish within the drain limit.
 func (p *Entry) Shutdown(ctx context.Context) error {
