--- a/cmd/trefoil-dev/main.go
+++ b/cmd/trefoil-dev/main.go
@@ -22,6 +22,7 @@
 	addExperiment(app, commands)
 	addStandIns(app, commands)
 	addCapacity(app, commands)
+	addRates(app, commands)
 	commands[app.Command("version", "Print the version.").FullCommand()] = printVersion
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/ratesim/scenario.go
+++ b/internal/ratesim/scenario.go
@@ -12,12 +12,12 @@
 
 // Scenario is one measured run.
 type Scenario struct {
-	Policy  string
-	Entries int
+	Policy  string `json:"policy"`
+	Entries int    `json:"entries"`
 	// Skew is the share of calls that reach one entry; 0 means even.
-	Skew  float64
-	Fault string
-	Seed  uint64
+	Skew  float64 `json:"skew"`
+	Fault string  `json:"fault"`
+	Seed  uint64  `json:"seed"`
 }
 
 // Faults that a scenario may have, from a third to two thirds of its time.
--- /dev/null
+++ b/internal/ratesim/table.go
@@ -0,0 +1,61 @@
+package ratesim
+
+import (
+	"fmt"
+	"io"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+)
+
+// Scenarios lists every policy under every fault, at 3 and 12 entries, with even
+// callers and with 70 in 100 at one entry.
+func Scenarios(seeds int) (all []Scenario) {
+	for _, entries := range []int{3, 12} {
+		for _, skew := range []float64{0, 0.7} {
+			for _, fault := range Faults() {
+				for _, policy := range []string{rate.PolicyEscrow, rate.PolicyFixedSplit, rate.PolicySingleOwner} {
+					for seed := range seeds {
+						all = append(all, Scenario{Policy: policy, Entries: entries, Skew: skew, Fault: fault, Seed: uint64(seed) + 1})
+					}
+				}
+			}
+		}
+	}
+	return all
+}
+
+// RunAll measures scenarios, some at a time, and keeps their order.
+func RunAll(all []Scenario, atATime int) ([]Report, error) {
+	reports := make([]Report, len(all))
+	errs := make([]error, len(all))
+	places := make(chan struct{}, atATime)
+	var running sync.WaitGroup
+	for i := range all {
+		places <- struct{}{}
+		running.Go(func() {
+			reports[i], errs[i] = Run(all[i])
+			<-places
+		})
+	}
+	running.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return reports, nil
+}
+
+// WriteTable writes one line a report.
+func WriteTable(w io.Writer, reports []Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "entries\tskew\tfault\tpolicy\tseed\tover\twrongful\tshare\tworst\tmessages\trenewals/s\tµs")
+	for _, r := range reports {
+		_, _ = fmt.Fprintf(t, "%d\t%.1f\t%s\t%s\t%d\t%.1f\t%d\t%.4f\t%.3f\t%.1f\t%.1f\t%.1f\n",
+			r.Entries, r.Skew, r.Fault, r.Policy, r.Seed, r.OverTokens, r.Wrongful, r.WrongfulShare,
+			r.WorstServed, r.MessagesPerRequest, r.RenewalsPerSecond, r.MicrosecondsToAdmit)
+	}
+	return t.Flush()
+}
