Report the burn of service levels

Entries count ended requests by route and client account in rings of twelve parts for each of four windows, bounded to 16,384 series, and publish them by expvar. trefoil-burn reads listeners or saved files and shows burn rates, budgets, multi-window alerts, the worst-served account and wasted prefill as a table, JSON or one page with plots. A window that an instance has not seen the whole of is listed as a gap, and what was not measured is absent, not zero. Wrongful refusals can't be told from counts, so that column stays absent.

--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -11,11 +11,15 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/burn"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/entry"
 	"github.com/trefoilwalk/trefoilwalk/instance/operator"
+	"github.com/trefoilwalk/trefoilwalk/instance/stats"
+	"github.com/trefoilwalk/trefoilwalk/link/burnstats"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
@@ -142,6 +146,7 @@
 		NewQueue:    newQueue,
 		Peers:       p.dials,
 		Config:      p.store,
+		Recorder:    recorder(self),
 		Layouts:     layoutstore.New(p.platform.Table()),
 		Claims:      claimstore.New(p.platform.Table()),
 		ClaimSweep:  sweepOf(s.Claims),
@@ -150,6 +155,13 @@
 	}, nil
 }
 
+// recorder counts what the entry serves and publishes it.
+func recorder(self instance.Identity) *stats.Stats {
+	s := stats.New(clock.System{}.Now(), self)
+	burnstats.Publish(self.String(), func() burn.Snapshot { return s.Snapshot(clock.System{}.Now()) })
+	return s
+}
+
 func zonesOf(names []string) (zones []zone.AvailabilityZone) {
 	for _, name := range names {
 		zones = append(zones, zone.AvailabilityZone(name))
--- /dev/null
+++ b/link/burnpage/text.go
@@ -0,0 +1,164 @@
+// Package burnpage shows a service-level burn report as a table, as JSON and as
+// one HTML page with plots.
+package burnpage
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/burn"
+)
+
+// absent stands for a value that was not measured.
+const absent = "-"
+
+// allAccounts stands for a whole route.
+const allAccounts = "(all)"
+
+// windowName gives the short name of a window.
+func windowName(d time.Duration) string {
+	switch {
+	case d >= 48*time.Hour:
+		return fmt.Sprintf("%dd", d/(24*time.Hour))
+	case d >= time.Hour:
+		return fmt.Sprintf("%dh", d/time.Hour)
+	default:
+		return fmt.Sprintf("%dm", d/time.Minute)
+	}
+}
+
+func number(v *float64) string {
+	if v == nil {
+		return absent
+	}
+	return fmt.Sprintf("%.2f", *v)
+}
+
+func percent(v *float64) string {
+	if v == nil {
+		return absent
+	}
+	return fmt.Sprintf("%.2f%%", 100**v)
+}
+
+func latency(d time.Duration) string {
+	if d == 0 {
+		return absent
+	}
+	return d.Round(time.Millisecond).String()
+}
+
+func accountName(a contract.AccountID) string {
+	if a == "" {
+		return allAccounts
+	}
+	return string(a)
+}
+
+// Table writes the report for a terminal.
+func Table(w io.Writer, r burn.Report) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(t, "route\taccount\tobjective\tbudget left")
+	for _, window := range burn.Windows {
+		_, _ = fmt.Fprintf(t, "\tburn %s", windowName(window))
+	}
+	_, _ = fmt.Fprintln(t, "\talert")
+	for _, l := range r.Lines {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s", l.Route, accountName(l.Account), l.Objective, percent(l.BudgetLeft))
+		for _, b := range l.Burn {
+			_, _ = fmt.Fprintf(t, "\t%s", number(b))
+		}
+		_, _ = fmt.Fprintf(t, "\t%s\n", l.Alert)
+	}
+	_, _ = fmt.Fprintln(t, "\nroute\tworst account\tserved\twasted prefill\tover rate\twrongful\tfirst token p95\tgap p95")
+	for _, s := range r.Routes {
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Route, s.Worst, percent(s.WorstShare),
+			percent(s.WastedPrefill), s.RateRefused, absent, latency(s.SlowestFirst), latency(s.SlowestGap))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return notes(w, r)
+}
+
+// notes says what the report does not know.
+func notes(w io.Writer, r burn.Report) error {
+	for _, g := range r.Gaps {
+		_, _ = fmt.Fprintf(w, "gap: %s knows %s of the last %s\n", g.Instance, g.Known.Round(time.Second), windowName(g.Window))
+	}
+	for _, s := range r.Silent {
+		_, _ = fmt.Fprintf(w, "no answer: %s\n", s)
+	}
+	_, err := fmt.Fprintf(w, "%d instances\n", r.Instances)
+	return err
+}
+
+// line is a line of the report as JSON.
+type line struct {
+	Route      string              `json:"route"`
+	Account    string              `json:"account"`
+	Objective  string              `json:"objective"`
+	BudgetLeft *float64            `json:"budget_left"`
+	Burn       map[string]*float64 `json:"burn"`
+	Alert      string              `json:"alert,omitempty"`
+}
+
+// summary is a route's summary as JSON. Absent measurements are null.
+type summary struct {
+	Route           string   `json:"route"`
+	WorstAccount    string   `json:"worst_account"`
+	WorstServed     *float64 `json:"worst_served"`
+	WastedPrefill   *float64 `json:"wasted_prefill"`
+	RateRefused     uint32   `json:"rate_refused"`
+	WrongfulRefused *uint32  `json:"wrongful_refusals"`
+	FirstTokenP95   *float64 `json:"first_token_p95_ms"`
+	GapP95          *float64 `json:"gap_p95_ms"`
+}
+
+// gap is a gap as JSON.
+type gap struct {
+	Instance     string  `json:"instance"`
+	Window       string  `json:"window"`
+	KnownSeconds float64 `json:"known_s"`
+}
+
+// JSON writes the report as one object.
+func JSON(w io.Writer, r burn.Report) error {
+	out := struct {
+		At        time.Time `json:"at"`
+		Instances int       `json:"instances"`
+		Silent    []string  `json:"silent"`
+		Lines     []line    `json:"lines"`
+		Routes    []summary `json:"routes"`
+		Gaps      []gap     `json:"gaps"`
+	}{At: r.At.UTC(), Instances: r.Instances, Silent: r.Silent}
+	for _, l := range r.Lines {
+		burns := make(map[string]*float64)
+		for i, window := range burn.Windows {
+			burns[windowName(window)] = l.Burn[i]
+		}
+		out.Lines = append(out.Lines, line{string(l.Route), string(l.Account), l.Objective.String(), l.BudgetLeft, burns, l.Alert.String()})
+	}
+	for _, s := range r.Routes {
+		out.Routes = append(out.Routes, summary{string(s.Route), string(s.Worst), s.WorstShare, s.WastedPrefill,
+			s.RateRefused, s.WrongfulRefused, milliseconds(s.SlowestFirst), milliseconds(s.SlowestGap)})
+	}
+	for _, g := range r.Gaps {
+		out.Gaps = append(out.Gaps, gap{g.Instance, windowName(g.Window), g.Known.Seconds()})
+	}
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(out)
+}
+
+func milliseconds(d time.Duration) *float64 {
+	if d == 0 {
+		return nil
+	}
+	ms := float64(d) / float64(time.Millisecond)
+	return &ms
+}
