An engine that cannot be reached is down at once, and its calls have run

Cause: with the only decode engine killed under a stream (separate processes, by hand), the stream ended with 'over_capacity' within a second. The resume that found nobody replaced the error of the broken stream, so that the call counted as not sent; calls that were not sent did not count against the engine, and five attempts went to it one after the other. Change: a resume that is not sent leaves the call broken off; a call that is not sent makes the sidecar look at once, and an engine that does not answer gets no work until it does.

--- a/instance/sidecar/crash.go
+++ b/instance/sidecar/crash.go
@@ -94,14 +94,18 @@
 
 // broke is called from a link's goroutine when the upstream broke off a call. It
 // looks at the upstream before the call's failure is told, so that the entry
-// hears of the suspects before it tries them elsewhere.
+// hears of the suspects before it tries them elsewhere. A call that could not be
+// sent is no suspect, but shows as well that the upstream may be down.
 func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) {
-	if !errors.Is(err, link.ErrGone) && !errors.Is(err, link.ErrUnknownCall) {
+	brokeOff := errors.Is(err, link.ErrGone) || errors.Is(err, link.ErrUnknownCall)
+	if !brokeOff && !errors.Is(err, link.ErrNotSent) {
 		return
 	}
 	h := table.NewHeld()
 	now := s.clock.Now()
-	s.suspects.With(h, func(x *suspects) { x.witness.Broke(now, fp) })
+	if brokeOff {
+		s.suspects.With(h, func(x *suspects) { x.witness.Broke(now, fp) })
+	}
 	seen := s.look(ctx)
 	if !seen.up {
 		s.silentAfterBreak(h)
--- a/instance/sidecar/faults_test.go
+++ b/instance/sidecar/faults_test.go
@@ -33,6 +33,10 @@
 
 func (f *fakeEngine) Decode(ctx context.Context, d link.Decode, emit func(contract.Chunk) error) error {
 	f.mu.Lock()
+	if f.silent {
+		f.mu.Unlock()
+		return link.ErrNotSent
+	}
 	f.held[d.Call] = true
 	crash, stalled := f.crash, f.stalled
 	f.mu.Unlock()
@@ -48,6 +52,11 @@
 }
 
 func (f *fakeEngine) Resume(context.Context, contract.CallID, contract.Tokens, func(contract.Chunk) error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent {
+		return link.ErrNotSent
+	}
 	return link.ErrUnknownCall
 }
 
@@ -227,6 +236,23 @@
 			time.Sleep(2 * time.Second)
 			return b.reserve("r1", 1)
 		}, contract.CodeOverCapacity},
+		{"a dead engine breaks its calls off, which ran", func(b *bench) any {
+			b.decode("r1", 1)
+			b.engine.set(func() { b.engine.silent = true; close(b.engine.crash) })
+			time.Sleep(200 * time.Millisecond)
+			return b.poll("r1")
+		}, contract.CodeUpstreamFailed},
+		{"and gets no work from the first call that it breaks off", func(b *bench) any {
+			b.decode("r1", 1)
+			b.engine.set(func() { b.engine.silent = true; close(b.engine.crash) })
+			time.Sleep(200 * time.Millisecond)
+			return b.reserve("r2", 2)
+		}, contract.CodeOverCapacity},
+		{"nor from the first call that does not reach it", func(b *bench) any {
+			b.engine.set(func() { b.engine.silent = true })
+			b.decode("r1", 1)
+			return b.reserve("r2", 2)
+		}, contract.CodeOverCapacity},
 		{"until it answers", func(b *bench) any {
 			b.engine.set(func() { b.engine.silent = true })
 			time.Sleep(2 * time.Second)
--- a/instance/sidecar/stream.go
+++ b/instance/sidecar/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -96,6 +97,10 @@
 			return context.Cause(ctx)
 		}
 		err = s.engine.Resume(ctx, q.Call, next, emit)
+		if errors.Is(err, link.ErrNotSent) {
+			// Only the question was not sent: the call itself ran.
+			err = fmt.Errorf("%w: not reached to resume: %v", link.ErrGone, err)
+		}
 	}
 	if err == nil && !done {
 		return link.ErrGone
