Quarantine a request after two crashes, never after one

Cause: a stream's only decode engine was killed by hand; the stream's request, alone there, was quarantined for ten minutes, and all repeats of its caller with it. Change: alone at one crash makes a suspect, as beside others; two crashes make a quarantine. Conclusion: one more crash by a bad request, no wrongful refusal by a bad engine.

--- a/upstream/quarantine/quarantine.go
+++ b/upstream/quarantine/quarantine.go
@@ -1,8 +1,9 @@
 // Package quarantine decides which requests must not run because they crash
 // upstreams. It knows them by fingerprint. A request that was present at two
-// crashes, or alone at one, is refused for a time. One that was present at a
-// single crash is a suspect: it is tried again, but never together with another
-// suspect, so that the next crash tells the guilty one from its fellow victims.
+// crashes is refused for a time. One that was present at a single crash is a
+// suspect, also if it was alone there, because upstreams die for other reasons
+// too: it is tried again, but never together with another suspect, so that the
+// next crash tells the guilty one from its fellow victims.
 // A table has no lock; it lives in a shared table of rank RankQuarantine.
 package quarantine
 
@@ -97,7 +98,7 @@
 	for _, fp := range running {
 		r := t.record(now, fp)
 		r.present(crash)
-		if t.judge(now, r, len(running) == 1) {
+		if t.judge(now, r) {
 			found = append(found, fp)
 		}
 	}
@@ -105,9 +106,9 @@
 }
 
 // judge quarantines or suspects, and reports whether it newly quarantined.
-func (t *Table) judge(now time.Time, r *record, alone bool) bool {
+func (t *Table) judge(now time.Time, r *record) bool {
 	r.learned = now
-	if !alone && len(r.crashes) < 2 {
+	if len(r.crashes) < 2 {
 		r.until = later(r.until, now.Add(t.options.Suspicion))
 		return false
 	}
