Keep control traffic bounded and each sidecar's keeper near

Cause: at 370 entries the heartbeats would pass 10 KB/s, every entry began its turns with the same peers, and a sidecar's two keepers could both be in a zone that is cut off from it. Change: only heartbeats carry news of zones; above 18 entries a heartbeat goes to 2 entries in place of 6; turns start at a place that differs by entry; a sidecar has a keeper in its own zone and one of all, from the platform's list and who is alive. The rates query shows what entries hold.

--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -232,7 +232,6 @@
 // header opens a message.
 func (e *Entry) header(h *table.Held) peer.Header {
 	header := peer.Header{From: e.self, Revision: e.snapshot(h).Revision}
-	header.ZonesHeard = e.zonesHeard(h)
 	header.Quarantine = e.notes(h)
 	return header
 }
--- a/instance/entry/exchange.go
+++ b/instance/entry/exchange.go
@@ -19,7 +19,9 @@
 		e.memberHeard(h, from.Kind, from.Addr, &q.Header)
 		e.members.With(h, func(m **members) { (*m).Says(string(q.From.Name), q.Leaving) })
 		e.hear(h, q.Revision, from)
-		answer(&peer.HeartbeatReply{Header: e.header(h)})
+		reply := &peer.HeartbeatReply{Header: e.header(h)}
+		reply.ZonesHeard = e.zonesHeard(h)
+		answer(reply)
 		return e.spreadDue(h)
 	})
 }
--- a/instance/entry/greet.go
+++ b/instance/entry/greet.go
@@ -24,17 +24,13 @@
 func (e *Entry) greetSidecars(h *table.Held) (effects []pool.Effect) {
 	e.pool.After(GreetEvery, e.greetSidecars)
 	now := e.clock.Now()
-	entries := []string{string(e.self.Name)}
-	e.members.With(h, func(m **members) {
-		for _, member := range (*m).Members(now) {
-			if member.Kind == zone.KindEntry && member.Health == zone.Alive {
-				entries = append(entries, member.Name)
-			}
-		}
-	})
-	keepers := newRing(entries)
-	for id, u := range e.snapshot(h).Upstreams {
-		if u.State != upstream.StateRetired && keepers.of(id) == string(e.self.Name) {
+	self := string(e.self.Name)
+	var entries map[string]zone.AvailabilityZone
+	e.members.With(h, func(m **members) { entries = (*m).entries(now) })
+	entries[self] = e.self.Place.Zone
+	keepers := newKeepers(entries)
+	for _, u := range e.snapshot(h).Upstreams {
+		if u.State != upstream.StateRetired && keepers.keeps(self, u) {
 			effects = append(effects, e.greet(config.Peer{Kind: zone.KindSidecar, Addr: u.SidecarAddr}))
 		}
 	}
@@ -51,31 +47,59 @@
 	}}
 }
 
-// ringPoints is how many places each entry has on the ring.
+// ringPoints is how many places each entry has on a ring.
 const ringPoints = 16
 
-// ring gives each upstream one entry, and moves few of them when entries come
+// ring gives each upstream one entry, and moves few upstreams when entries come
 // and go.
 type ring struct {
 	points []uint64
 	entry  map[uint64]string
 }
 
-func newRing(entries []string) ring {
-	r := ring{entry: make(map[uint64]string)}
-	for _, name := range entries {
-		for i := range ringPoints {
-			point := xxhash.Sum64String(name + string(rune('a'+i)))
-			r.points = append(r.points, point)
-			r.entry[point] = name
-		}
+func (r *ring) add(entry string) {
+	if r.entry == nil {
+		r.entry = make(map[uint64]string)
+	}
+	for i := range ringPoints {
+		point := xxhash.Sum64String(entry + string(rune('a'+i)))
+		r.points = append(r.points, point)
+		r.entry[point] = entry
 	}
-	slices.Sort(r.points)
-	return r
 }
 
-// of gives the entry that keeps an upstream's sidecar up to date.
-func (r ring) of(id upstream.ID) string {
+// of gives the upstream's entry; empty if the ring has none.
+func (r *ring) of(id upstream.ID) string {
+	if r == nil || len(r.points) == 0 {
+		return ""
+	}
 	i, _ := slices.BinarySearch(r.points, xxhash.Sum64String(string(id)))
 	return r.entry[r.points[i%len(r.points)]]
 }
+
+// keepers gives each sidecar the entries that keep it up to date: one of its own
+// availability zone, since the zone may be cut off, and one of all.
+type keepers struct {
+	all    ring
+	byZone map[zone.AvailabilityZone]*ring
+}
+
+func newKeepers(entries map[string]zone.AvailabilityZone) keepers {
+	k := keepers{byZone: make(map[zone.AvailabilityZone]*ring)}
+	for name, z := range entries {
+		if k.byZone[z] == nil {
+			k.byZone[z] = &ring{}
+		}
+		k.byZone[z].add(name)
+		k.all.add(name)
+	}
+	slices.Sort(k.all.points)
+	for _, r := range k.byZone {
+		slices.Sort(r.points)
+	}
+	return k
+}
+
+func (k keepers) keeps(entry string, u upstream.Upstream) bool {
+	return k.all.of(u.ID) == entry || k.byZone[u.Place.Zone].of(u.ID) == entry
+}
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -19,9 +22,12 @@
 	// HeartbeatEvery is the time between two heartbeats, a third of the
 	// silence after which a member is suspect.
 	HeartbeatEvery = zone.SuspectAfter / 3
-	// HeartbeatFanout bounds the entries that one heartbeat goes to; larger
-	// fleets are covered in turns.
+	// HeartbeatFanout bounds the entries that one heartbeat goes to; they take
+	// turns. SmallFleet entries are covered within zone.SuspectAfter; a larger
+	// fleet gets LargeFanout, so that a node's heartbeats stay within 10 KB/s.
 	HeartbeatFanout = 6
+	SmallFleet      = 18
+	LargeFanout     = 2
 	// UntrustedGrace is how long running requests go on after the configuration
 	// is no longer trusted, so that a process that was paused can catch up.
 	UntrustedGrace = time.Second
@@ -32,8 +38,11 @@
 	*zone.Membership
 	// seeds are asked while no other entry is known.
 	seeds []string
-	// turn says which entries the next heartbeat goes to.
+	// turn says which entries the next heartbeat goes to. It starts elsewhere
+	// at each entry, so that not all tell the same few.
 	turn int
+	// listed are the entries in the platform's list, with their zones.
+	listed map[string]zone.AvailabilityZone
 	// untrustedSince is when trust in the configuration was lost.
 	untrustedSince time.Time
 }
@@ -46,12 +55,41 @@
 		Kind:        zone.KindEntry,
 		Addr:        o.Addr,
 	}
-	return &members{Membership: zone.NewMembership(self, o.Zones), seeds: o.Seeds}
+	return &members{
+		Membership: zone.NewMembership(self, o.Zones),
+		seeds:      o.Seeds,
+		turn:       int(xxhash.Sum64String(self.Name) >> 32),
+	}
 }
 
-// nextEntries gives the addresses of the entries whose turn it is, at most
-// count; the seeds if no other entry is known.
-func (m *members) nextEntries(now time.Time, count int) []string {
+// list takes the platform's list.
+func (m *members) list(now time.Time, listings []zone.Listing) {
+	m.Listed(now, listings)
+	m.listed = make(map[string]zone.AvailabilityZone)
+	for _, l := range listings {
+		if !l.Leaving {
+			m.listed[l.Name] = l.Place.Zone
+		}
+	}
+}
+
+// entries gives the entries that are listed or alive, and their zones.
+func (m *members) entries(now time.Time) map[string]zone.AvailabilityZone {
+	entries := maps.Clone(m.listed)
+	if entries == nil {
+		entries = make(map[string]zone.AvailabilityZone)
+	}
+	for _, member := range m.Members(now) {
+		if member.Kind == zone.KindEntry && member.Health == zone.Alive {
+			entries[member.Name] = member.Place.Zone
+		}
+	}
+	return entries
+}
+
+// nextEntries gives the addresses of the entries whose turn it is: at most few,
+// or fewer in a large fleet; the seeds if no other entry is known.
+func (m *members) nextEntries(now time.Time, few, fewer int) []string {
 	var entries []string
 	for _, member := range m.Members(now) {
 		if member.Kind == zone.KindEntry && member.Addr != "" {
@@ -61,6 +99,10 @@
 	if len(entries) == 0 {
 		entries = m.seeds
 	}
+	count := few
+	if len(entries) > SmallFleet {
+		count = fewer
+	}
 	if len(entries) <= count {
 		return entries
 	}
@@ -77,7 +119,7 @@
 	e.pool.After(HeartbeatEvery, e.heartbeat)
 	e.rateMembers(h)
 	e.avoidQuietZones(h)
-	return e.sendHeartbeats(h, HeartbeatFanout)
+	return e.sendHeartbeats(h, HeartbeatFanout, LargeFanout)
 }
 
 // avoidQuietZones tells the board which availability zones nobody hears from.
@@ -88,10 +130,10 @@
 	e.board.With(h, func(b **placement.Board) { (*b).SetQuiet(now, quiet) })
 }
 
-func (e *Entry) sendHeartbeats(h *table.Held, count int) (effects []pool.Effect) {
+func (e *Entry) sendHeartbeats(h *table.Held, few, fewer int) (effects []pool.Effect) {
 	now := e.clock.Now()
 	var next []string
-	e.members.With(h, func(m **members) { next = (*m).nextEntries(now, count) })
+	e.members.With(h, func(m **members) { next = (*m).nextEntries(now, few, fewer) })
 	for _, addr := range next {
 		effects = append(effects, e.heartbeatTo(addr))
 	}
@@ -104,6 +146,7 @@
 		ctx, cancel := context.WithTimeout(ctx, AskTimeout)
 		defer cancel()
 		q := &peer.HeartbeatRequest{Kind: kindEntry, Addr: e.addr, Leaving: e.leaving()}
+		q.ZonesHeard = e.zonesHeard(table.NewHeld())
 		if _, err := e.peers.Entry(addr).Heartbeat(ctx, q); err != nil {
 			e.log.Debug("heartbeat failed", "entry", addr, "error", err)
 		}
--- a/instance/entry/query.go
+++ b/instance/entry/query.go
@@ -6,6 +6,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/instance/operator"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
@@ -35,9 +36,33 @@
 	if q.Requests {
 		answer.Requests = e.requestRows(h)
 	}
+	if q.Rates {
+		answer.Rates = e.rateRows(h)
+	}
 	return answer
 }
 
+// rateRows describes what the entry holds of the accounts in use.
+func (e *Entry) rateRows(h *table.Held) (rows []operator.RateRow) {
+	now := e.clock.Now()
+	e.rates.With(h, func(p *rate.Policy) {
+		reporter, ok := (*p).(rate.Reporter)
+		if !ok {
+			return
+		}
+		for _, held := range reporter.Holdings(now) {
+			rows = append(rows, operator.RateRow{
+				Account: held.Account,
+				Entry:   string(e.self.Name),
+				InHand:  held.InHand,
+				Cap:     held.Cap,
+				Waiting: held.Waiting,
+			})
+		}
+	})
+	return rows
+}
+
 // requestRows describes the running requests.
 func (e *Entry) requestRows(h *table.Held) (rows []operator.RequestRow) {
 	now := e.clock.Now()
--- a/instance/entry/spread.go
+++ b/instance/entry/spread.go
@@ -27,9 +27,11 @@
 	SyncTimeout = 2 * time.Second
 )
 
-// Stamp implements heard.Node.
+// Stamp implements heard.Node. Only heartbeats carry news of zones.
 func (e *Entry) Stamp(head *peer.Header) {
+	zones := head.ZonesHeard
 	*head = e.header(table.NewHeld())
+	head.ZonesHeard = zones
 }
 
 // Heard implements heard.Node: a peer that is ahead is asked, one that is behind
@@ -161,7 +163,7 @@
 		_, refusal := next.CheckKey(r.Key)
 		return refusal
 	})
-	return append(effects, e.sendHeartbeats(h, AnnounceFanout)...)
+	return append(effects, e.sendHeartbeats(h, AnnounceFanout, AnnounceFanout)...)
 }
 
 // cutKeyed ends the requests on keyed routes that check refuses.
--- a/instance/entry/spread_test.go
+++ b/instance/entry/spread_test.go
@@ -385,7 +385,14 @@
 			m := newMesh(t)
 			m.setCut(cut, "c", "a", "b", storeZone)
 			e := m.entries["e1-a"]
+			m.wait("e2-a")
 			service := operator.NewService(m.store, e, e, clock.System{})
+			for _, subject := range []operator.Subject{operator.Requests, operator.Rates} {
+				table, err := service.Query(t.Context(), operator.Query{Subject: subject})
+				if err != nil || len(table.Rows) != 1 || (len(table.Silent) == 2) != cut {
+					t.Errorf("cut %v: %s: %v, silent %v, %v", cut, subject, table.Rows, table.Silent, err)
+				}
+			}
 			set := operator.SetAccount{ID: "acme"}
 			outcome, err := service.Change(t.Context(), "asha", []operator.Change{set}, operator.Options{Wait: inForceWithin})
 			if err != nil {
--- a/instance/entry/timers.go
+++ b/instance/entry/timers.go
@@ -102,7 +102,7 @@
 			leaving = append(leaving, upstream.ID(l.Name))
 		}
 	}
-	e.members.With(h, func(m **members) { (*m).Listed(now, listings(listed)) })
+	e.members.With(h, func(m **members) { (*m).list(now, listings(listed)) })
 	e.board.With(h, func(b **placement.Board) { (*b).SetLeaving(now, leaving) })
 	return nil
 }
--- a/instance/operator/fleet.go
+++ b/instance/operator/fleet.go
@@ -57,15 +57,16 @@
 	Age      time.Duration
 }
 
-// RateRow describes what an entry holds of a client account's tokens.
+// RateRow describes what an entry holds of a client account's tokens. Accounts
+// that nobody used lately have no row.
 type RateRow struct {
 	Account contract.AccountID
 	Entry   string
-	// InHand may be spent now; Spent and Refused count since the start.
-	InHand  contract.Tokens
-	Cap     contract.Tokens
-	Spent   contract.Tokens
-	Refused int64
+	// InHand may be spent there now; Cap is what it grows to by itself.
+	InHand contract.Tokens
+	Cap    contract.Tokens
+	// Waiting counts the requests that wait for tokens.
+	Waiting int
 }
 
 // Fleet asks all instances.
--- a/instance/operator/subject.go
+++ b/instance/operator/subject.go
@@ -164,8 +164,7 @@
 	{Column{"entry", Text}, func(r RateRow) Value { return text(r.Entry) }},
 	{Column{"in_hand", Number}, func(r RateRow) Value { return number(r.InHand) }},
 	{Column{"cap", Number}, func(r RateRow) Value { return number(r.Cap) }},
-	{Column{"spent", Number}, func(r RateRow) Value { return number(r.Spent) }},
-	{Column{"refused", Number}, func(r RateRow) Value { return number(r.Refused) }},
+	{Column{"waiting", Number}, func(r RateRow) Value { return number(r.Waiting) }},
 }
 
 var revisionColumns = []column[config.Change]{
--- a/link/operator/shell/shell_test.go
+++ b/link/operator/shell/shell_test.go
@@ -69,7 +69,7 @@
 		sidecar.Loads = []upstream.Load{{Upstream: "e1", Slots: 20, FreeSlots: 3, Blocks: 400, FreeBlocks: 60}}
 	}
 	if q.Rates {
-		entry.Rates = []operator.RateRow{{Account: "acme", Entry: "en1", InHand: 700, Cap: 1000, Spent: 300, Refused: 4}}
+		entry.Rates = []operator.RateRow{{Account: "acme", Entry: "en1", InHand: 700, Cap: 1000, Waiting: 4}}
 	}
 	return []operator.Answer{entry, sidecar}, []operator.Silent{{Instance: "e2", Reason: "timeout"}}
 }
