--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -84,6 +84,7 @@
 	perform := func(ctx context.Context) pool.Step {
 		ctx, cancel := context.WithTimeout(ctx, run.q.Within)
 		defer cancel()
+		e.waits(run.call, cancel)
 		reply, err := e.peers.Sidecar(choice.Addr).Prefill(ctx, &run.q)
 		return func(h *table.Held) []pool.Effect {
 			if err != nil {
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -69,6 +70,10 @@
 	wastedTokens  contract.Tokens
 	usage         contract.Usage
 
+	// stop ends the wait for an answer to the current attempt; nil if none is
+	// awaited.
+	stop context.CancelFunc
+
 	// pending, answer and ended are what the goroutine of the caller's
 	// connection takes; wake tells it that there is something.
 	pending []contract.Chunk
