Count news as old as its question; search the whole of the recent audit trail

Cause: a reply that waited in a paused process counted as fresh, so its zone was trusted for longer than the bound. The revisions query searched 100 lines only. Change: a reply is as old as the time since its request was sent, and a read of the store as the time since it was asked. Revisions with conditions or order search the newest 5,000 lines. A test that quarantine notes reach all entries: leaving them out had passed all tests; it is seen to fail without them. The age of replies has no test of its own: pausing one process needs the loopback bench.

--- a/instance/entry/exchange.go
+++ b/instance/entry/exchange.go
@@ -16,7 +16,7 @@
 func (e *Entry) Heartbeat(ctx context.Context, q *peer.HeartbeatRequest) (*peer.HeartbeatReply, error) {
 	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.HeartbeatReply)) []pool.Effect {
 		from := config.Peer{Kind: kindOf(q.Kind), Addr: q.Addr}
-		e.memberHeard(h, from.Kind, from.Addr, &q.Header)
+		e.memberHeard(h, from, &q.Header, 0)
 		e.members.With(h, func(m **members) { (*m).Says(string(q.From.Name), q.Leaving) })
 		e.hear(h, q.Revision, from)
 		reply := &peer.HeartbeatReply{Header: e.header(h)}
@@ -30,7 +30,7 @@
 func (e *Entry) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
 	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.SyncReply)) []pool.Effect {
 		effects := e.install(h, config.Loaded{Snapshot: q.Offer, Changes: q.Changes})
-		e.memberHeard(h, zone.KindEntry, "", &q.Header)
+		e.memberHeard(h, config.Peer{Kind: zone.KindEntry}, &q.Header, 0)
 		e.hear(h, q.Revision, config.Peer{})
 		reply := &peer.SyncReply{Header: e.header(h)}
 		e.config.With(h, func(s **config.Spread) {
--- a/instance/entry/members.go
+++ b/instance/entry/members.go
@@ -179,28 +179,29 @@
 	return all
 }
 
-// memberHeard notes a message of another instance. Of a sidecar only its
-// availability zone is of interest here.
-func (e *Entry) memberHeard(h *table.Held, kind zone.Kind, addr string, head *peer.Header) {
+// memberHeard notes a message of another instance and what it tells of others;
+// age is how old it may be. Of a sidecar only its availability zone is of
+// interest here.
+func (e *Entry) memberHeard(h *table.Held, from config.Peer, head *peer.Header, age time.Duration) {
 	e.heardNotes(h, head)
 	now := e.clock.Now()
-	from := zone.Member{
+	member := zone.Member{
 		Name:        string(head.From.Name),
 		Incarnation: int64(head.From.Incarnation),
 		Place:       head.From.Place,
-		Kind:        kind,
-		Addr:        addr,
+		Kind:        from.Kind,
+		Addr:        from.Addr,
 	}
-	news := make([]zone.News, 0, len(head.ZonesHeard))
+	news := make([]zone.News, 0, len(head.ZonesHeard)+1)
 	for _, n := range head.ZonesHeard {
-		news = append(news, zone.News{Zone: zone.AvailabilityZone(n.Zone), Age: n.Age})
+		news = append(news, zone.News{Zone: zone.AvailabilityZone(n.Zone), Age: n.Age + age})
 	}
-	if kind == zone.KindSidecar {
-		news = append(news, zone.News{Zone: from.Place.Zone})
+	if from.Kind == zone.KindSidecar {
+		news = append(news, zone.News{Zone: member.Place.Zone, Age: age})
 	}
 	e.members.With(h, func(m **members) {
-		if kind == zone.KindEntry && from.Name != "" {
-			(*m).Heard(now, from, 0)
+		if from.Kind == zone.KindEntry && member.Name != "" {
+			(*m).Heard(now, member, age)
 		}
 		(*m).HeardZones(now, news)
 	})
--- a/instance/entry/rates.go
+++ b/instance/entry/rates.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -18,7 +19,7 @@
 // Rates implements peer.Entry.
 func (e *Entry) Rates(ctx context.Context, q *peer.RatesRequest) (*peer.RatesReply, error) {
 	return pool.Ask(ctx, e.pool, func(h *table.Held, answer func(*peer.RatesReply)) []pool.Effect {
-		e.memberHeard(h, zone.KindEntry, "", &q.Header)
+		e.memberHeard(h, config.Peer{Kind: zone.KindEntry}, &q.Header, 0)
 		result := e.handleRates(h, q.From, q.Message)
 		reply := &peer.RatesReply{Header: e.header(h)}
 		reply.Message, result.Out = split(result.Out, q.From.Name)
--- a/instance/entry/spread.go
+++ b/instance/entry/spread.go
@@ -28,18 +28,19 @@
 )
 
 // Stamp implements heard.Node. Only heartbeats carry news of zones.
-func (e *Entry) Stamp(head *peer.Header) {
+func (e *Entry) Stamp(head *peer.Header) (sent time.Time) {
 	zones := head.ZonesHeard
 	*head = e.header(table.NewHeld())
 	head.ZonesHeard = zones
+	return e.clock.Now()
 }
 
 // Heard implements heard.Node: a peer that is ahead is asked, one that is behind
 // is told.
-func (e *Entry) Heard(from config.Peer, head *peer.Header) {
+func (e *Entry) Heard(from config.Peer, head *peer.Header, sent time.Time) {
 	h := table.NewHeld()
-	e.memberHeard(h, from.Kind, from.Addr, head)
 	now := e.clock.Now()
+	e.memberHeard(h, from, head, now.Sub(sent))
 	var offering config.Offering
 	behind := false
 	e.config.With(h, func(s **config.Spread) {
@@ -101,15 +102,16 @@
 	return pool.Effect{
 		Lane: lane,
 		Perform: func(ctx context.Context) pool.Step {
+			asked := e.clock.Now()
 			loaded, err := e.load(ctx, f)
 			if err != nil {
 				e.log.Warn("configuration not read", "peer", f.Peer.Addr, "error", err)
 			}
-			return func(h *table.Held) []pool.Effect { return e.fetched(h, f, loaded, err) }
+			return func(h *table.Held) []pool.Effect { return e.fetched(h, f, loaded, asked, err) }
 		},
 		OnPanic: func(reason any) pool.Step {
 			err := fmt.Errorf("entry: panic: %v", reason)
-			return func(h *table.Held) []pool.Effect { return e.fetched(h, f, config.Loaded{}, err) }
+			return func(h *table.Held) []pool.Effect { return e.fetched(h, f, config.Loaded{}, time.Time{}, err) }
 		},
 	}
 }
@@ -128,15 +130,15 @@
 	return config.Loaded{Snapshot: reply.Snapshot, Changes: reply.Changes}, nil
 }
 
-// fetched puts what a fetch brought in force.
-func (e *Entry) fetched(h *table.Held, f config.Fetch, loaded config.Loaded, err error) []pool.Effect {
+// fetched puts what a fetch brought in force. It is as old as the question.
+func (e *Entry) fetched(h *table.Held, f config.Fetch, loaded config.Loaded, asked time.Time, err error) []pool.Effect {
 	now := e.clock.Now()
 	var effects []pool.Effect
 	if err == nil {
 		effects = e.install(h, loaded)
 	}
 	if err == nil && f.Peer == (config.Peer{}) {
-		e.members.With(h, func(m **members) { (*m).ReadStore(now) })
+		e.members.With(h, func(m **members) { (*m).ReadStore(asked) })
 	}
 	e.config.With(h, func(s **config.Spread) { (*s).Fetched(now, f) })
 	return effects
--- a/instance/entry/spread_test.go
+++ b/instance/entry/spread_test.go
@@ -24,6 +24,7 @@
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -408,3 +409,24 @@
 		})
 	}
 }
+
+// TestSuspectsSpread tells one entry of a request that crashes upstreams; all
+// entries hear of it.
+func TestSuspectsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.setCut(true, "c", "a", storeZone)
+		q := &peer.HeartbeatRequest{}
+		q.Quarantine = []quarantine.Note{{Fingerprint: 7, For: time.Minute}}
+		if _, err := m.entries["e1-a"].Heartbeat(t.Context(), q); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(inForceWithin)
+		for name, e := range m.entries {
+			reply, err := e.Heartbeat(t.Context(), &peer.HeartbeatRequest{})
+			if err != nil || len(reply.Quarantine) != 1 || reply.Quarantine[0].Fingerprint != 7 {
+				t.Errorf("%s has not heard: %+v, %v", name, reply, err)
+			}
+		}
+	})
+}
--- a/instance/operator/service.go
+++ b/instance/operator/service.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -105,14 +106,19 @@
 	return t
 }
 
-// DefaultAuditLines is how many revisions are read when no limit is given.
-const DefaultAuditLines = 100
+// Revisions that are read from the audit trail.
+const (
+	// DefaultAuditLines are read when no limit is given.
+	DefaultAuditLines = 100
+	// SearchedAuditLines are searched when there are conditions.
+	SearchedAuditLines = 5000
+)
 
-// revisions reads the audit trail. Conditions apply to the lines read.
+// revisions reads the newest lines of the audit trail.
 func (s *Service) revisions(ctx context.Context, q Query) (*Table, error) {
-	lines := q.Limit
-	if lines == 0 || len(q.Where) > 0 {
-		lines = max(lines, DefaultAuditLines)
+	lines := cmp.Or(q.Limit, DefaultAuditLines)
+	if len(q.Where) > 0 || len(q.OrderBy) > 0 {
+		lines = SearchedAuditLines
 	}
 	changes, err := s.store.Audit(ctx, 0, lines)
 	if err != nil {
--- a/link/peer/heard/heard.go
+++ b/link/peer/heard/heard.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
@@ -13,10 +14,11 @@
 
 // Node is the process that makes the calls.
 type Node interface {
-	// Stamp fills in the header of a request.
-	Stamp(head *peer.Header)
-	// Heard is told of the header of a reply. It must not block.
-	Heard(from config.Peer, head *peer.Header)
+	// Stamp fills in the header of a request and tells the time.
+	Stamp(head *peer.Header) (sent time.Time)
+	// Heard is told of the header of a reply, and when its request was sent:
+	// the reply may have waited here since soon after. It must not block.
+	Heard(from config.Peer, head *peer.Header, sent time.Time)
 }
 
 // Dialer opens the calls of other processes.
@@ -51,10 +53,10 @@
 
 // pass makes one call.
 func pass[Q, R peer.Message](ctx context.Context, p passing, call func(context.Context, Q) (R, error), q Q) (R, error) {
-	p.node.Stamp(q.Head())
+	sent := p.node.Stamp(q.Head())
 	reply, err := call(ctx, q)
 	if err == nil {
-		p.node.Heard(p.peer, reply.Head())
+		p.node.Heard(p.peer, reply.Head(), sent)
 	}
 	return reply, err
 }
