Test each moment of a call that may not be repeated against each fault

Change: a table of 26 rows over two real entries, two sidecars and the stand-in table in fake time, and callers at both entries at once, also while the holder of the claim pauses past its grant. A caller that takes no answer is no longer counted as answered. A call that runs renews its slot at the sidecar.

A pause before the claim ends in "not run": the write's own time was over.

--- a/instance/entry/claim.go
+++ b/instance/entry/claim.go
@@ -146,7 +146,8 @@
 	case claim.DoRead:
 		return []pool.Effect{e.claimRead(id, run.key)}
 	case claim.DoSend:
-		return []pool.Effect{e.claimSend(h, id, run, a)}
+		effects := e.track(h, a.Witness, a.Call)
+		return append(effects, e.claimSend(h, id, run, a))
 	case claim.DoAsk:
 		return []pool.Effect{e.claimAsk(h, id, a)}
 	case claim.DoPause:
@@ -304,6 +305,7 @@
 		defer cancel()
 		reply, err := e.peers.Sidecar(a.Witness).Call(ctx, &q)
 		return func(h *table.Held) []pool.Effect {
+			e.untrack(h, a.Witness, a.Call)
 			if err == nil {
 				e.observe(h, []upstream.Load{reply.Load}, nil)
 			}
--- /dev/null
+++ b/instance/entry/once_test.go
@@ -0,0 +1,349 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/claim"
+	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/contract/fair"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/entry"
+	"github.com/trefoilwalk/trefoilwalk/instance/sidecar"
+	"github.com/trefoilwalk/trefoilwalk/internal/standin/memplatform"
+	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/claimstore"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+)
+
+// moment is a moment of a call's life at the first entry.
+type moment string
+
+const (
+	beforeClaim  moment = "before claim"
+	claimLost    moment = "claim written, answer lost"
+	claimKnown   moment = "claim known, not sent"
+	sentNoAnswer moment = "sent, no answer"
+	notRecorded  moment = "answered, not recorded"
+	notDelivered moment = "recorded, not delivered"
+)
+
+// ledgerService counts what it runs.
+type ledgerService struct{ runs atomic.Int32 }
+
+func (s *ledgerService) Call(context.Context, contract.CallID, string, contract.ServiceCall) (contract.ServiceAnswer, error) {
+	s.runs.Add(1)
+	time.Sleep(20 * time.Millisecond)
+	return contract.ServiceAnswer{Status: 200, Body: []byte("entered")}, nil
+}
+
+func (s *ledgerService) Healthy(context.Context) error { return nil }
+
+// onceWorld is two entries and two services beside one table.
+type onceWorld struct {
+	t        *testing.T
+	service  ledgerService
+	platform *memplatform.Platform
+	source   *source
+	mu       sync.Mutex
+	sidecars map[string]*sidecar.Sidecar
+	entries  [2]*entry.Entry
+	// at and fault say when the first entry meets what, once.
+	at     moment
+	fault  func(ctx context.Context, w *onceWorld, witness string)
+	met    atomic.Bool
+	leaves context.CancelFunc
+}
+
+func newOnceWorld(t *testing.T) *onceWorld {
+	w := &onceWorld{t: t, platform: memplatform.New(), sidecars: make(map[string]*sidecar.Sidecar), source: &source{now: config.Empty()}}
+	now := w.source.now
+	now.Revision = 1
+	now.Accounts["a"] = contract.ClientAccount{ID: "a", Weight: 1, Rate: contract.Rate{PerSecond: 1e6, Burst: 1e6}}
+	hash := contract.HashKey(testKey)
+	now.Keys[hash] = contract.Key{Hash: hash, Account: "a"}
+	now.Routes["fees"] = contract.Route{Name: "fees", Kind: contract.RouteService, Service: "ledger", PathPrefix: "/fees/", Timeout: 20 * time.Second}
+	for _, id := range []upstream.ID{"ledger-1", "ledger-2"} {
+		now.Upstreams[id] = upstream.Upstream{ID: id, Place: here, Role: upstream.RoleService, State: upstream.StateServing, Pool: "ledger", SidecarAddr: string(id)}
+		w.startSidecar(string(id), 1)
+	}
+	for i, name := range []instance.Name{"entry-1", "entry-2"} {
+		w.entries[i] = w.startEntry(name)
+	}
+	time.Sleep(200 * time.Millisecond)
+	return w
+}
+
+func (w *onceWorld) startSidecar(id string, incarnation instance.Incarnation) {
+	s := sidecar.New(sidecar.Options{
+		Self:     instance.Identity{Name: instance.Name(id), Incarnation: incarnation, Place: here},
+		Upstream: upstream.ID(id),
+		Limits:   engine.Limits{Role: upstream.RoleService, Slots: 8},
+		Service:  &w.service,
+	})
+	w.t.Cleanup(s.Close)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sidecars[id] = s
+}
+
+func (w *onceWorld) startEntry(name instance.Name) *entry.Entry {
+	self := instance.Identity{Name: name, Incarnation: 1, Place: here}
+	board, err := placement.NewBoard(placement.Options{Self: here})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	rates, err := rate.New(rate.PolicyFixedSplit, self, rate.Options{Entries: 1})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	first := name == "entry-1"
+	e := entry.New(entry.Options{
+		Self:     self,
+		Secret:   []byte("secret"),
+		Board:    board,
+		Rates:    rates,
+		NewQueue: func() fair.Queue { return fair.NewWeighted(fair.DefaultLimit) },
+		Peers:    &oncePeers{w, first},
+		Config:   w.source,
+		Claims:   &onceStore{claimstore.New(w.platform.Table), w, first},
+	})
+	w.t.Cleanup(e.Close)
+	return e
+}
+
+// meet brings the fault about if its moment has come.
+func (w *onceWorld) meet(ctx context.Context, first bool, at moment, witness string) bool {
+	if !first || w.at != at || !w.met.CompareAndSwap(false, true) {
+		return false
+	}
+	w.fault(ctx, w, witness)
+	return true
+}
+
+type onceStore struct {
+	*claimstore.Store
+	w     *onceWorld
+	first bool
+}
+
+func (s *onceStore) Write(ctx context.Context, key claim.Key, version uint64, from claim.State, record claim.Record) (claim.WriteResult, error) {
+	if record.State == claim.StateClaimed {
+		s.w.meet(ctx, s.first, beforeClaim, record.Witness)
+	}
+	if record.State == claim.StateDone {
+		// The caller has its answer by then.
+		time.Sleep(time.Millisecond)
+		s.w.meet(ctx, s.first, notRecorded, record.Witness)
+	}
+	result, err := s.Store.Write(ctx, key, version, from, record)
+	if record.State == claim.StateClaimed && s.w.meet(ctx, s.first, claimLost, record.Witness) {
+		return claim.WriteLost, errors.New("answer lost")
+	}
+	return result, err
+}
+
+type oncePeers struct {
+	w     *onceWorld
+	first bool
+}
+
+func (p *oncePeers) Entry(string) peer.Entry { return nil }
+func (p *oncePeers) Sidecar(addr string) peer.Sidecar {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	return &onceWire{p.w.sidecars[addr], p, addr}
+}
+
+type onceWire struct {
+	*sidecar.Sidecar
+	p    *oncePeers
+	addr string
+}
+
+func (o *onceWire) Call(ctx context.Context, q *peer.ServiceRequest) (*peer.ServiceReply, error) {
+	to := o.Sidecar
+	if q.Granted {
+		o.p.w.meet(ctx, o.p.first, claimKnown, o.addr)
+		to = o.p.Sidecar(o.addr).(*onceWire).Sidecar
+	}
+	reply, err := to.Call(ctx, q)
+	if q.Granted && o.p.w.meet(ctx, o.p.first, sentNoAnswer, o.addr) {
+		return nil, peer.ErrNoAnswer
+	}
+	return reply, err
+}
+
+// onceSink is one caller.
+type onceSink struct {
+	collector
+	w     *onceWorld
+	first bool
+	body  string
+}
+
+func (s *onceSink) Answered(a contract.ServiceAnswer) error {
+	if s.w.meet(context.Background(), s.first, notDelivered, "") {
+		return errors.New("the caller is gone")
+	}
+	s.body = string(a.Body)
+	return nil
+}
+
+// send makes the call at one entry and says what its caller saw.
+func (w *onceWorld) send(i int, body string) string {
+	ctx, cancel := context.WithCancel(w.t.Context())
+	defer cancel()
+	if i == 0 && !w.met.Load() && w.at != "" {
+		w.leaves = cancel
+	}
+	sink := &onceSink{w: w, first: i == 0}
+	refusal := w.entries[i].Serve(ctx, contract.Incoming{
+		Key: testKey, IdempotencyKey: "fee-7",
+		Call: &contract.ServiceCall{Method: "POST", Path: "/fees/certificate", Body: []byte(body)},
+	}, sink)
+	switch {
+	case ctx.Err() != nil:
+		return "broken"
+	case sink.body != "":
+		return sink.body
+	case refusal == nil:
+		return "no answer"
+	default:
+		return refusal.Ran.String() + " " + string(refusal.Code)
+	}
+}
+
+// Faults of the first entry and its surroundings.
+func dies(ctx context.Context, w *onceWorld, _ string) {
+	go w.entries[0].Close()
+	// The entry does nothing more once its connections break.
+	time.Sleep(time.Millisecond)
+	w.leaves()
+	if ctx.Done() != nil {
+		<-ctx.Done()
+	}
+}
+
+func replaced(_ context.Context, w *onceWorld, witness string) {
+	if witness != "" {
+		w.sidecars[witness].Close()
+		w.startSidecar(witness, 2)
+	}
+}
+
+func diesReplaced(ctx context.Context, w *onceWorld, witness string) {
+	go replaced(ctx, w, witness)
+	dies(ctx, w, witness)
+}
+
+func pauses(context.Context, *onceWorld, string) { time.Sleep(claim.GrantLease + time.Second) }
+
+func storeDown(_ context.Context, w *onceWorld, _ string) {
+	w.platform.Store.SetDown(true)
+	time.AfterFunc(5*time.Second, func() { w.platform.Store.SetDown(false) })
+}
+
+// TestOnceFaultTable says for each moment and fault what the caller sees, and
+// what a repeat at another entry sees ten seconds later.
+func TestOnceFaultTable(t *testing.T) {
+	const answer, gone = "entered", "broken"
+	const noStore, unknown = "no store_unavailable", "unknown outcome_unknown"
+	cases := []struct {
+		at             moment
+		fault          string
+		caller, repeat string
+	}{
+		{beforeClaim, "entry dies", gone, answer},
+		{beforeClaim, "entry pauses", noStore, answer},
+		{beforeClaim, "store down", noStore, answer},
+		{beforeClaim, "sidecar replaced", answer, answer},
+		{claimLost, "entry dies", gone, answer},
+		{claimLost, "entry pauses", answer, answer},
+		{claimLost, "store down", noStore, answer},
+		{claimLost, "sidecar replaced", answer, answer},
+		{claimLost, "entry dies, sidecar replaced", gone, unknown},
+		{claimKnown, "entry dies", gone, answer},
+		{claimKnown, "entry pauses", answer, answer},
+		{claimKnown, "store down", answer, answer},
+		{claimKnown, "sidecar replaced", answer, answer},
+		{claimKnown, "entry dies, sidecar replaced", gone, unknown},
+		{sentNoAnswer, "entry dies", gone, answer},
+		{sentNoAnswer, "entry pauses", answer, answer},
+		{sentNoAnswer, "store down", answer, answer},
+		{sentNoAnswer, "sidecar replaced", unknown, unknown},
+		{sentNoAnswer, "entry dies, sidecar replaced", gone, unknown},
+		{notRecorded, "entry dies", answer, answer},
+		{notRecorded, "entry pauses", answer, answer},
+		{notRecorded, "store down", answer, answer},
+		{notRecorded, "sidecar replaced", answer, answer},
+		{notRecorded, "entry dies, sidecar replaced", answer, unknown},
+		{notDelivered, "entry dies", gone, answer},
+		{notDelivered, "store down", "yes canceled", answer},
+	}
+	faults := map[string]func(context.Context, *onceWorld, string){
+		"entry dies": dies, "entry pauses": pauses, "store down": storeDown,
+		"sidecar replaced": replaced, "entry dies, sidecar replaced": diesReplaced,
+	}
+	for _, c := range cases {
+		t.Run(string(c.at)+": "+c.fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newOnceWorld(t)
+				w.at, w.fault = c.at, faults[c.fault]
+				if got := w.send(0, "amount 5"); got != c.caller {
+					t.Errorf("the caller saw %q, want %q", got, c.caller)
+				}
+				time.Sleep(10 * time.Second)
+				if !w.met.Load() {
+					t.Error("the moment did not come")
+				}
+				if got := w.send(1, "amount 5"); got != c.repeat {
+					t.Errorf("the repeat saw %q, want %q", got, c.repeat)
+				}
+				if got := w.send(1, "amount 6"); got != "no idempotency_key_reused" {
+					t.Errorf("another body saw %q", got)
+				}
+				ran := int(w.service.runs.Load())
+				if ran > 1 || ran == 0 && c.repeat == answer {
+					t.Errorf("ran %d times", ran)
+				}
+			})
+		})
+	}
+}
+
+// TestOnceAtTheSameTime sends one call to both entries at once: it runs once and
+// all get its answer, also when the entry that holds the claim pauses for longer
+// than its grant lives, and wakes after the other has taken over.
+func TestOnceAtTheSameTime(t *testing.T) {
+	for _, at := range []moment{"", claimKnown, sentNoAnswer} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newOnceWorld(t)
+			w.at, w.fault = at, pauses
+			got := make(chan string, 8)
+			for i := range cap(got) {
+				go func() { got <- w.send(i%2, "amount 5") }()
+				if i == 0 && at != "" {
+					time.Sleep(time.Second)
+				}
+			}
+			for range cap(got) {
+				if saw := <-got; saw != "entered" {
+					t.Errorf("pause when %q: a caller saw %q", at, saw)
+				}
+			}
+			if ran := w.service.runs.Load(); ran != 1 {
+				t.Errorf("pause when %q: ran %d times", at, ran)
+			}
+		})
+	}
+}
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -183,7 +183,7 @@
 		}
 		out := e.takeOutput(h, r)
 		if err := write(out, sink); err != nil {
-			return e.abandon(ctx, h, r, sink)
+			return e.undelivered(ctx, h, r, sink)
 		}
 		if out.ended {
 			return out.refusal
@@ -245,6 +245,14 @@
 	return out.refusal
 }
 
+// undelivered ends a request whose caller took no more output.
+func (e *Entry) undelivered(ctx context.Context, h *table.Held, r *request, sink contract.Sink) *contract.Refusal {
+	if refusal := e.abandon(ctx, h, r, sink); refusal != nil {
+		return refusal
+	}
+	return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanYes, Reason: "the caller left"}
+}
+
 // cutShort is the refusal of a request that is ended from outside.
 func (r *request) cutShort(cause error) *contract.Refusal {
 	refusal := &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanUnknown, Reason: "the caller left"}
--- a/instance/sidecar/once.go
+++ b/instance/sidecar/once.go
@@ -30,7 +30,7 @@
 
 // tellFate answers what became of an attempt.
 func (s *Sidecar) tellFate(h *table.Held, call contract.CallID) *peer.ServiceReply {
-	reply := &peer.ServiceReply{Header: s.header(h)}
+	reply := &peer.ServiceReply{Header: s.header()}
 	s.witness.With(h, func(w **claim.Witness) {
 		reply.Fate, reply.Answer, reply.Dropped = (*w).Ask(s.clock.Now(), call)
 	})
