Let replies go out before a process ends; wait for a place for calls sent once

Cause: a sidecar that shut down closed its connections as soon as no call ran, so the reply of the last ones could be cut, and a call that may not be repeated then ended as unknown. Such calls were also refused at once when the upstreams that are left had no free slot.

Change: the peer listener's Shutdown ends the reading side of its connections; net/rpc then writes the replies that are due. A request that finds no room asks again, with the pauses of a claim, for up to half of its time.

--- a/instance/entry/claim.go
+++ b/instance/entry/claim.go
@@ -42,6 +42,10 @@
 	message  peer.ServiceRequest
 	deadline time.Time
 	need     placement.Need
+	// placeBy is until when the request waits for an upstream with room; rounds
+	// counts how often it asked.
+	placeBy time.Time
+	rounds  int
 	// answer is the answer at hand when the machine says to deliver one.
 	answer contract.ServiceAnswer
 	// dropped says that the answer was too large to be kept.
@@ -74,6 +78,7 @@
 		run.key = claim.Key{Account: r.Account, Route: r.Route.Name, Idempotency: r.IdempotencyKey}
 		run.machine = claim.NewMachine(r.call(), run.body)
 		run.deadline = r.Deadline
+		run.placeBy = now.Add(r.Deadline.Sub(now) / 2)
 		run.need = placement.Need{Pool: r.Route.Service, Slack: r.slack(now)}
 		run.message = peer.ServiceRequest{
 			Pseudonym:   r.Pseudonym,
@@ -213,12 +218,39 @@
 		}
 		return func(h *table.Held) []pool.Effect {
 			e.observe(h, result.loads, result.failed)
+			if result.choice == nil && e.grantLater(h, id, call) {
+				return nil
+			}
 			return e.claimEvent(h, id, func(run *claimRun) claim.Action { return run.granted(&result) })
 		}
 	}
 	return []pool.Effect{{Lane: laneService, Perform: perform, OnPanic: e.claimPanic(id)}}
 }
 
+// grantLater asks again after a while, if there is time: upstreams that are full
+// now have room soon. It reports false if the request has to do without.
+func (e *Entry) grantLater(h *table.Held, id contract.RequestID, call contract.CallID) bool {
+	waits, rounds := false, 0
+	now := e.clock.Now()
+	e.claims.With(h, id, func(rows map[contract.RequestID]*claimRun) {
+		if run, there := rows[id]; there && now.Before(run.placeBy) {
+			waits = true
+			run.rounds++
+			rounds = run.rounds
+		}
+	})
+	if waits {
+		e.pool.After(claim.Pause(rounds), func(h *table.Held) []pool.Effect {
+			run := e.claimOf(h, id)
+			if run == nil {
+				return nil
+			}
+			return e.claimGrant(h, id, run, call)
+		})
+	}
+	return waits
+}
+
 // granted goes on with what asking for a grant led to. An upstream that was
 // tried is not tried again.
 func (run *claimRun) granted(result *asked) claim.Action {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -198,7 +198,8 @@
 	ctx, cancel := context.WithTimeout(ctx, p.drain.Limit.Duration)
 	defer cancel()
 	err := p.core.Drain(ctx)
-	err = errors.Join(err, p.caller.Shutdown(ctx))
+	_ = p.peerConn.Close()
+	err = errors.Join(err, p.caller.Shutdown(ctx), p.peers.Shutdown(ctx))
 	p.Kill()
 	return err
 }
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -121,12 +121,15 @@
 }
 
 // Shutdown ends the sidecar gracefully: no new work, and the running calls
-// finish within the drain limit.
+// finish within the drain limit, replies included.
 func (p *Sidecar) Shutdown(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, p.drain.Limit.Duration)
 	defer cancel()
 	err := p.core.Drain(ctx)
-	err = errors.Join(err, p.operator.Shutdown(ctx))
+	// Entries hear with each reply that they should go elsewhere.
+	wait(ctx, p.drain.Notice.Duration)
+	_ = p.peerConn.Close()
+	err = errors.Join(err, p.peers.Shutdown(ctx), p.operator.Shutdown(ctx))
 	p.Kill()
 	return err
 }
--- a/link/peer/rpc/server.go
+++ b/link/peer/rpc/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
@@ -59,6 +60,35 @@
 	}
 }
 
+// Shutdown reads no more requests, lets the replies of running ones go out, and
+// closes all connections. When ctx ends first it is Close.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.stopReading()
+	answered := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(answered)
+	}()
+	var err error
+	select {
+	case <-answered:
+	case <-ctx.Done():
+		err = fmt.Errorf("peer listener: %w", context.Cause(ctx))
+	}
+	s.Close()
+	return err
+}
+
+// stopReading ends the reading side of all connections. net/rpc then writes the
+// replies that are due before it closes them.
+func (s *Server) stopReading() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
 // Close ends running calls and closes all connections.
 func (s *Server) Close() {
 	s.cancel()
