--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -80,7 +80,10 @@
 	if err != nil {
 		return fail(peer.ErrNotSent, err)
 	}
-	call := c.client.Go(method, request, reply, make(chan *rpc.Call, 1))
+	call, err := d.send(ctx, addr, c, method, request, reply)
+	if err != nil {
+		return fail(peer.ErrNoAnswer, err)
+	}
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
@@ -104,6 +107,21 @@
 	}
 }
 
+// send writes a request. The write blocks while the peer takes nothing and the
+// connection's buffers are full; when ctx ends before, the connection is given
+// up, since a part of the request may have been written.
+func (d *Dials) send(ctx context.Context, addr string, c *conn, method string, request, reply any) (*rpc.Call, error) {
+	sent := make(chan *rpc.Call, 1)
+	go func() { sent <- c.client.Go(method, request, reply, make(chan *rpc.Call, 1)) }()
+	select {
+	case call := <-sent:
+		return call, nil
+	case <-ctx.Done():
+		d.forget(addr, c)
+		return nil, context.Cause(ctx)
+	}
+}
+
 // connect returns the peer's connection, opening it if there is none.
 func (d *Dials) connect(ctx context.Context, addr string) (*conn, error) {
 	d.mu.Lock()
