--- a/instance/entry/once_test.go
+++ b/instance/entry/once_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -40,8 +41,11 @@
 // ledgerService counts what it runs.
 type ledgerService struct{ runs atomic.Int32 }
 
-func (s *ledgerService) Call(context.Context, contract.CallID, string, contract.ServiceCall) (contract.ServiceAnswer, error) {
+func (s *ledgerService) Call(_ context.Context, _ contract.CallID, _ string, c contract.ServiceCall) (contract.ServiceAnswer, error) {
 	s.runs.Add(1)
+	if string(c.Body) == "panic" {
+		panic("one call")
+	}
 	time.Sleep(20 * time.Millisecond)
 	return contract.ServiceAnswer{Status: 200, Body: []byte("entered")}, nil
 }
@@ -200,7 +204,9 @@
 }
 
 // send makes the call at one entry and says what its caller saw.
-func (w *onceWorld) send(i int, body string) string {
+func (w *onceWorld) send(i int, body string) string { return w.sendKey(i, "fee-7", body) }
+
+func (w *onceWorld) sendKey(i int, key, body string) string {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	defer cancel()
 	if i == 0 && !w.met.Load() && w.at != "" {
@@ -208,7 +214,7 @@
 	}
 	sink := &onceSink{w: w, first: i == 0}
 	refusal := w.entries[i].Serve(ctx, contract.Incoming{
-		Key: testKey, IdempotencyKey: "fee-7",
+		Key: testKey, IdempotencyKey: key,
 		Call: &contract.ServiceCall{Method: "POST", Path: "/fees/certificate", Body: []byte(body)},
 	}, sink)
 	switch {
@@ -347,3 +353,40 @@
 		})
 	}
 }
+
+// TestOnceCost counts what calls cost the table, and what becomes of them while
+// it is down. A call whose upstream link panics ends alone.
+func TestOnceCost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 50
+		w := newOnceWorld(t)
+		send := func(name, want string) {
+			for i := range calls {
+				if got := w.sendKey(i%2, fmt.Sprint(name, i), "amount 5"); got != want {
+					t.Errorf("%s %d: got %q, want %q", name, i, got, want)
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		if got := w.sendKey(0, "fault", "panic"); got != "unknown outcome_unknown" {
+			t.Errorf("the call that panics: %q", got)
+		}
+		time.Sleep(time.Second)
+		before := w.platform.Store.Counts()
+		send("up", "entered")
+		after := w.platform.Store.Counts()
+		writes, reads := after.Writes-before.Writes, after.Reads-before.Reads
+		t.Logf("%d calls: %d writes, %d reads", calls, writes, reads)
+		if writes > 2*calls || reads > calls {
+			t.Errorf("%d writes and %d reads for %d calls", writes, reads, calls)
+		}
+		w.platform.Store.SetDown(true)
+		send("down", "no store_unavailable")
+		if ran := w.service.runs.Load(); ran != calls+1 {
+			t.Errorf("ran %d times, want %d", ran, calls+1)
+		}
+		if got := w.sendKey(1, "", "amount 5"); got != "no idempotency_key_missing" {
+			t.Errorf("without a key: %q", got)
+		}
+	})
+}
