Kill and pause entries as a crash and a halt would, and leave out what no router saves

An entry can also be paused: what it sends and receives is held.

Requests that were at an entry as it was killed or cut off are counted as inside the fault and left out of goodput and refusals, since no policy could save them; the count is in the report.

--- a/cmd/trefoil-dev/experiment.go
+++ b/cmd/trefoil-dev/experiment.go
@@ -59,7 +59,7 @@
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	for _, m := range report.Results {
 		fmt.Fprintf(table, "policy\t%s\n", m.Policy)
-		fmt.Fprintf(table, "requests\t%d, of these %d within rate\n", m.Offered, m.WithinRate)
+		fmt.Fprintf(table, "requests\t%d, of these %d within rate and %d inside the fault\n", m.Offered, m.WithinRate, m.Inside)
 		row(table, "goodput", m.Goodput)
 		row(table, "wasted prefill", m.WastedPrefill)
 		row(table, "worst account", m.WorstAccount)
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -18,6 +18,9 @@
 	// Offered counts all requests, WithinRate those that the figures are about.
 	Offered    int `json:"offered"`
 	WithinRate int `json:"within_rate"`
+	// Inside counts requests that were at an entry as it was killed or cut off
+	// from their callers. No other figure is about them.
+	Inside int `json:"inside"`
 	// Goodput is the share of model requests within their account's rate whose
 	// whole answer met both latency targets.
 	Goodput *float64 `json:"goodput"`
@@ -84,7 +87,29 @@
 // within its rate, its caller stayed, its key works, and it crashes nothing.
 func (r *run) counted(o *outcome) bool {
 	withdrawn := o.plan.account == withdrawnIndex && !r.events.withdrawn.IsZero()
-	return o.plan.within && o.plan.leaveAfter == 0 && !o.plan.poison && !withdrawn
+	return o.plan.within && o.plan.leaveAfter == 0 && !o.plan.poison && !withdrawn && !r.inside(o)
+}
+
+// inside reports whether a request was at an entry that failed under it.
+func (r *run) inside(o *outcome) bool {
+	switch r.options.Fault {
+	case FaultZoneQuiet:
+		start := r.began.Add(r.options.faultStart())
+		end := r.began.Add(r.options.faultEnd())
+		ended := o.tries[len(o.tries)-1].endedAt
+		return o.entry == r.fleet.Entries[quietIndex] && o.sent.Before(end) && ended.After(start)
+	case FaultEntryKilled:
+		return !r.cutOff(o).IsZero()
+	default:
+		return false
+	}
+}
+
+func one(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
 }
 
 // share divides; nil if there is nothing to divide by.
@@ -101,6 +126,7 @@
 	sent, good := make([]int, accounts), make([]int, accounts)
 	refused, all, allGood := 0, 0, 0
 	for _, o := range r.outcomes {
+		m.Inside += one(r.inside(o))
 		if !r.counted(o) {
 			continue
 		}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -46,6 +46,8 @@
 	sent time.Time
 	// tries has one element, but for calls that were sent again.
 	tries []try
+	// entry is where the last try was sent.
+	entry *fleet.EntryNode
 	// left is when the caller left; zero if it stayed.
 	left time.Time
 }
@@ -141,7 +143,8 @@
 		tries = onceTries
 	}
 	for n := range tries {
-		a := r.once(ctx, p)
+		a, entry := r.once(ctx, p)
+		o.entry = entry
 		o.tries = append(o.tries, try{a, r.observer.runs(p.body), time.Now()})
 		if a.Whole {
 			break
@@ -158,9 +161,9 @@
 
 // once makes one try of a request. As a balancer would, it goes to another entry
 // when one does not take the connection.
-func (r *run) once(ctx context.Context, p *planned) (a load.Answer) {
+func (r *run) once(ctx context.Context, p *planned) (a load.Answer, entry *fleet.EntryNode) {
 	for range r.fleet.Entries {
-		entry := r.pick(p.entry)
+		entry = r.pick(p.entry)
 		a = r.at(ctx, entry, p)
 		var failed *net.OpError
 		if !errors.As(a.Err, &failed) || failed.Op != "dial" {
@@ -168,7 +171,7 @@
 		}
 		r.setDown(entry, true)
 	}
-	return a
+	return a, entry
 }
 
 // at makes one try at an entry.
--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -21,9 +21,6 @@
 // pseudonymSecret makes the pseudonyms of the fleet's client accounts.
 const pseudonymSecret = "pseudonyms-of-development"
 
-// loopback is where everything listens, on a port that is free.
-const loopback = "127.0.0.1:0"
-
 // EntryNode is one entry.
 type EntryNode struct {
 	// URL is where callers reach it, OperatorAddr where operators do.
@@ -32,6 +29,7 @@
 	Place        zone.Place
 
 	process *process.Entry
+	host    *host
 	end     sync.Once
 }
 
@@ -47,7 +45,8 @@
 	s.PseudonymSecret = pseudonymSecret
 	s.Operators = operators()
 	f.options.Policy.apply(&s)
-	p, err := process.StartEntry(s, process.Options{Log: f.options.Log, Network: f.network.in(z)})
+	h := f.network.host(z)
+	p, err := process.StartEntry(s, process.Options{Log: f.options.Log, Network: h})
 	if err != nil {
 		return err
 	}
@@ -56,6 +55,7 @@
 		OperatorAddr: p.OperatorAddr,
 		Place:        s.Place(),
 		process:      p,
+		host:         h,
 	})
 	f.Platform.Instances.Put(platform.Listed{Name: s.Name, Kind: "entry", Addr: p.PeerAddr, Place: s.Place()})
 	return nil
@@ -93,9 +93,17 @@
 	return n.process.Revision()
 }
 
-// Kill ends the entry at once, as a crash would.
+// Kill ends the entry at once, as a crash would: nobody hears of it.
 func (n *EntryNode) Kill() {
-	n.end.Do(n.process.Kill)
+	n.end.Do(func() {
+		n.host.kill()
+		n.process.Kill()
+	})
+}
+
+// Pause holds all that the entry sends and receives, or lets it go on.
+func (n *EntryNode) Pause(paused bool) {
+	n.host.pause(paused)
 }
 
 // Shutdown ends the entry gracefully.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -109,7 +109,7 @@
 func (f *Fleet) startPlatform() error {
 	f.Platform.Store.SetRates(storeReads, storeWrites)
 	f.Platform.Instances.SetLag(listLag)
-	l, err := f.network.listen(clients, loopback)
+	l, err := f.network.host(outside).Listen(loopback)
 	if err != nil {
 		return err
 	}
@@ -219,7 +219,7 @@
 
 // Transport makes HTTP calls as a caller does.
 func (f *Fleet) Transport() *http.Transport {
-	return f.network.transport(clients)
+	return f.network.host(outside).transport()
 }
 
 // Close ends everything.
--- a/internal/fleet/network.go
+++ b/internal/fleet/network.go
@@ -9,8 +9,11 @@
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
-// clients is the place of callers, which no cut of a zone holds.
-const clients zone.AvailabilityZone = ""
+// outside is the place of callers and of the platform, in no zone.
+const outside zone.AvailabilityZone = ""
+
+// loopback is where everything listens, on a port that is free.
+const loopback = "127.0.0.1:0"
 
 // network knows where each address is and holds what passes the border of a zone
 // that is cut off. Connections are not closed: they go on after the cut.
@@ -28,18 +31,6 @@
 	}
 }
 
-// listen opens a listener on the loopback in a zone.
-func (n *network) listen(z zone.AvailabilityZone, addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.places[l.Addr().String()] = z
-	return l, nil
-}
-
 // setCut cuts a zone off, or joins it again.
 func (n *network) setCut(z zone.AvailabilityZone, cut bool) {
 	n.mu.Lock()
@@ -73,100 +64,122 @@
 	return nil
 }
 
-// dialer opens connections from a zone.
-func (n *network) dialer(from zone.AvailabilityZone) func(ctx context.Context, addr string) (net.Conn, error) {
-	return func(ctx context.Context, addr string) (net.Conn, error) {
-		n.mu.Lock()
-		to := n.places[addr]
-		n.mu.Unlock()
-		for end := n.border(from, to); end != nil; end = n.border(from, to) {
-			select {
-			case <-end:
-			case <-ctx.Done():
-				return nil, ctx.Err()
-			}
-		}
-		var d net.Dialer
-		raw, err := d.DialContext(ctx, "tcp", addr)
-		if err != nil {
-			return nil, err
-		}
-		return &gated{Conn: raw, network: n, from: from, to: to, closed: make(chan struct{})}, nil
-	}
-}
-
-// transport makes HTTP calls from a zone.
-func (n *network) transport(from zone.AvailabilityZone) *http.Transport {
-	dial := n.dialer(from)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return dial(ctx, addr)
-		},
-		MaxIdleConnsPerHost: 256,
-	}
+// place gives where an address is.
+func (n *network) place(addr string) zone.AvailabilityZone {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.places[addr]
 }
 
-// gated is a connection that may pass a zone's border.
-type gated struct {
-	net.Conn
-	network  *network
-	from, to zone.AvailabilityZone
-	once     sync.Once
-	closed   chan struct{}
-}
+// host is the network as one instance sees it. It implements process.Network.
+type host struct {
+	network *network
+	zone    zone.AvailabilityZone
 
-// Read implements net.Conn.
-func (g *gated) Read(p []byte) (int, error) {
-	n, err := g.Conn.Read(p)
-	g.pass()
-	return n, err
+	mu sync.Mutex
+	// paused is closed when a pause ends; nil outside of one.
+	paused chan struct{}
+	dead   bool
+	conns  map[*conn]bool
 }
 
-// Write implements net.Conn.
-func (g *gated) Write(p []byte) (int, error) {
-	g.pass()
-	return g.Conn.Write(p)
+// host makes the network of an instance in a zone.
+func (n *network) host(z zone.AvailabilityZone) *host {
+	return &host{network: n, zone: z, conns: make(map[*conn]bool)}
 }
 
-// Close implements net.Conn.
-func (g *gated) Close() error {
-	g.once.Do(func() { close(g.closed) })
-	return g.Conn.Close()
+// Listen implements process.Network.
+func (h *host) Listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.network.places[l.Addr().String()] = h.zone
+	return &listener{Listener: l, host: h}, nil
 }
 
-// pass waits until nothing holds the connection, or it is closed.
-func (g *gated) pass() {
-	for end := g.network.border(g.from, g.to); end != nil; end = g.network.border(g.from, g.to) {
+// Dial implements process.Network.
+func (h *host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	to := h.network.place(addr)
+	for end := h.held(to); end != nil; end = h.held(to) {
 		select {
 		case <-end:
-		case <-g.closed:
-			return
+		case <-ctx.Done():
+			return nil, ctx.Err()
 		}
 	}
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return h.add(raw, to)
 }
 
-// local is the network as one zone sees it. It implements process.Network.
-type local struct {
-	*network
-	zone zone.AvailabilityZone
+// Transport implements process.Network.
+func (h *host) Transport() http.RoundTripper {
+	return h.transport()
 }
 
-// in gives the network of a zone.
-func (n *network) in(z zone.AvailabilityZone) local {
-	return local{n, z}
+func (h *host) transport() *http.Transport {
+	dial := func(ctx context.Context, _, addr string) (net.Conn, error) { return h.Dial(ctx, addr) }
+	return &http.Transport{DialContext: dial, MaxIdleConnsPerHost: idleConns}
 }
 
-// Listen implements process.Network.
-func (l local) Listen(addr string) (net.Listener, error) {
-	return l.listen(l.zone, addr)
-}
+// idleConns bounds the idle connections from one instance to another.
+const idleConns = 256
 
-// Dial implements process.Network.
-func (l local) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	return l.dialer(l.zone)(ctx, addr)
+// add takes a connection in, or closes it when the instance is dead.
+func (h *host) add(raw net.Conn, remote zone.AvailabilityZone) (net.Conn, error) {
+	c := &conn{Conn: raw, host: h, remote: remote, closed: make(chan struct{})}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.dead {
+		_ = raw.Close()
+		return nil, net.ErrClosed
+	}
+	h.conns[c] = true
+	return c, nil
+}
+
+// kill closes all connections at once; nothing is sent or received after it.
+func (h *host) kill() {
+	h.mu.Lock()
+	h.dead = true
+	conns := h.conns
+	h.conns = make(map[*conn]bool)
+	h.mu.Unlock()
+	for c := range conns {
+		_ = c.Close()
+	}
 }
 
-// Transport implements process.Network.
-func (l local) Transport() http.RoundTripper {
-	return l.transport(l.zone)
+// pause holds all that the instance sends and receives, or lets it go on. What
+// its clock does meanwhile goes on inside, as it must in one process.
+func (h *host) pause(paused bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if paused == (h.paused != nil) {
+		return
+	}
+	if paused {
+		h.paused = make(chan struct{})
+		return
+	}
+	close(h.paused)
+	h.paused = nil
+}
+
+// held gives the channel to wait for before anything passes to a zone; nil if
+// nothing holds it.
+func (h *host) held(remote zone.AvailabilityZone) <-chan struct{} {
+	h.mu.Lock()
+	paused := h.paused
+	h.mu.Unlock()
+	if paused != nil {
+		return paused
+	}
+	return h.network.border(h.zone, remote)
 }
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -44,7 +44,7 @@
 
 func (f *Fleet) startEngine(role upstream.Role, i int) error {
 	place := f.place(i)
-	l, err := f.network.listen(place.Zone, loopback)
+	l, err := f.network.host(place.Zone).Listen(loopback)
 	if err != nil {
 		return err
 	}
@@ -90,14 +90,14 @@
 
 // kvTransport fetches KV caches; each connection ends with its transfer.
 func (f *Fleet) kvTransport(z zone.AvailabilityZone) http.RoundTripper {
-	transport := f.network.transport(z)
+	transport := f.network.host(z).transport()
 	transport.DisableKeepAlives = true
 	return transport
 }
 
 func (f *Fleet) startService(i int) error {
 	place := f.place(i)
-	l, err := f.network.listen(place.Zone, loopback)
+	l, err := f.network.host(place.Zone).Listen(loopback)
 	if err != nil {
 		return err
 	}
@@ -132,7 +132,7 @@
 	s.Operators = operators()
 	s.Upstream.ID = string(u.ID)
 	s.Upstream.URL = url
-	p, err := process.StartSidecar(s, process.Options{Log: f.options.Log, Network: f.network.in(u.Place.Zone)})
+	p, err := process.StartSidecar(s, process.Options{Log: f.options.Log, Network: f.network.host(u.Place.Zone)})
 	if err != nil {
 		return nil, err
 	}
