--- a/internal/fleet/entries.go
+++ b/internal/fleet/entries.go
@@ -8,7 +8,6 @@
 	"sync"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/internal/process"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/link/settings"
@@ -85,7 +84,8 @@
 
 // Serving reports whether the entry takes requests.
 func (n *EntryNode) Serving() bool {
-	return n.process.State() == instance.Serving
+	ok, _ := n.process.Ready()
+	return ok
 }
 
 // Revision is the configuration that the entry has in force.
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -13,13 +13,13 @@
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
 	"github.com/trefoilwalk/trefoilwalk/contract/rate"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/entry"
 	"github.com/trefoilwalk/trefoilwalk/instance/operator"
 	"github.com/trefoilwalk/trefoilwalk/link/caller"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/claimstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/layoutstore"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
@@ -63,7 +63,7 @@
 }
 
 func newEntry(s settings.Entry, o Options) (*Entry, error) {
-	dial, err := dialer(o.Network, s.Peer)
+	dial, err := dialer(o, s.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -81,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	listeners, err := openEntry(s, o.Network)
+	listeners, err := openEntry(s, o)
 	if err != nil {
 		return nil, err
 	}
@@ -90,9 +90,14 @@
 	return p, p.serve(s, listeners, operators)
 }
 
+// sweepOf says how long claims are kept.
+func sweepOf(s settings.Claims) entry.ClaimSweep {
+	return entry.ClaimSweep{Keep: s.Keep.Duration, Every: s.SweepEvery.Duration, Batch: s.SweepBatch}
+}
+
 // openEntry opens the listeners, or none.
-func openEntry(s settings.Entry, network Network) (l entryListeners, err error) {
-	opened, err := openAll(network, s.Peer, s.Operator, s.Caller)
+func openEntry(s settings.Entry, o Options) (l entryListeners, err error) {
+	opened, err := openAll(o, s.Peer, s.Operator, s.Caller)
 	if err != nil {
 		return l, err
 	}
@@ -138,6 +143,8 @@
 		Peers:       p.dials,
 		Config:      p.store,
 		Layouts:     layoutstore.New(p.platform.Table()),
+		Claims:      claimstore.New(p.platform.Table()),
+		ClaimSweep:  sweepOf(s.Claims),
 		Instances:   p.platform.Instances(),
 		Log:         p.log,
 	}, nil
@@ -165,7 +172,7 @@
 	p.operator = api.NewServer(api.Options{
 		Service:   operator.NewService(p.store, p.core, p.core, clock.System{}),
 		Operators: operators,
-		Ready:     p.ready,
+		Ready:     p.core.Ready,
 		Log:       p.log,
 	})
 	go serve(p.operator, l.operator, p.log)
@@ -173,6 +180,7 @@
 	p.CallerAddr = l.caller.Addr().String()
 	p.handler = caller.NewHandler(p.core, s.Limits.Caller(), p.log)
 	p.handler.SetReady()
+	p.handler.Follow(p.core.Ready)
 	p.caller = caller.NewServer(p.handler, s.Limits.Caller(), p.log)
 	go serve(p.caller, l.caller, p.log)
 	return nil
@@ -186,9 +194,9 @@
 	}
 }
 
-// State gives where the entry stands in its life.
-func (p *Entry) State() instance.State {
-	return p.core.State()
+// Ready reports whether the balancer should send requests here, and if not, why.
+func (p *Entry) Ready() (ok bool, reason string) {
+	return p.core.Ready()
 }
 
 // Revision is that of the configuration in force.
@@ -196,15 +204,6 @@
 	return p.core.Snapshot().Revision
 }
 
-// ready says whether the balancer should send requests here.
-func (p *Entry) ready() (ok bool, reason string) {
-	state := p.core.State()
-	if state == instance.Serving && !p.core.Ready() {
-		return false, "no other entry confirms this one's share of the rates"
-	}
-	return state == instance.Serving, state.String()
-}
-
 // Shutdown ends the entry gracefully: the balancer is told first, then new
 // requests are refused, and the running ones finish within the drain limit.
 func (p *Entry) Shutdown(ctx context.Context) error {
