--- a/link/peer/rpc/rpc_test.go
+++ b/link/peer/rpc/rpc_test.go
@@ -174,3 +174,22 @@
 	go r.server.Serve(l)
 	t.Cleanup(func() { _ = l.Close(); r.server.Close() })
 }
+
+// TestPeerTakesNothing checks that a call ends with its context while its request
+// cannot be written, and says that it may have been sent.
+func TestPeerTakesNothing(t *testing.T) {
+	dials := NewDials(func(context.Context, string) (net.Conn, error) {
+		ours, theirs := net.Pipe()
+		t.Cleanup(func() { _ = theirs.Close() })
+		return ours, nil
+	})
+	t.Cleanup(dials.Close)
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		_, err := dials.Entry("peer").Heartbeat(ctx, &peer.HeartbeatRequest{})
+		cancel()
+		if !errors.Is(err, peer.ErrNoAnswer) {
+			t.Errorf("got %v, want %v", err, peer.ErrNoAnswer)
+		}
+	}
+}
