Grant decode places ahead of the calls that still hold them

Change: the ledger knows from each call's tokens left and pace when its place becomes free at the latest, and grants it to a request whose KV cache is ready by then. A call that comes too early waits at the sidecar for its place and is sent when that is given back; earlier grants come first. Ruled out: prefilling before a place is known, which wastes prefills once the queue for places is longer than a KV cache lives.

--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -148,7 +148,7 @@
 		return contract.Refuse(contract.CodeStaleGrant, "the call already runs here"), nil
 	}
 	s.openStream(h, q.From, q.Call, q.Offset)
-	return nil, []pool.Effect{s.decodeAtEngine(q, granted, r)}
+	return nil, s.startDecode(h, r, s.decodeAtEngine(q, granted, r))
 }
 
 // decodeAtEngine streams a call's output into the outbox of its entry.
@@ -165,7 +165,6 @@
 	}
 	perform := func(ctx context.Context) pool.Step {
 		ctx = s.attach(ctx, r)
-		s.started(q.Call)
 		err := s.stream(ctx, q, granted.Priority)
 		if err == nil {
 			s.finished(granted.Fingerprint)
--- a/instance/sidecar/running.go
+++ b/instance/sidecar/running.go
@@ -27,6 +27,8 @@
 	// cancel ends the call to the upstream; nil until it was started.
 	cancel   context.CancelFunc
 	canceled bool
+	// waiting is the call to the upstream while it has no place for it yet.
+	waiting *pool.Effect
 }
 
 // begin enters a call; ok is false if it is there already.
@@ -135,9 +137,19 @@
 	}
 }
 
-// release gives a call's grant back.
+// release gives a call's grant back and sends the calls that waited for it.
 func (s *Sidecar) release(h *table.Held, call contract.CallID) {
-	s.ledger.With(h, func(l **engine.Ledger) { (*l).Release(s.clock.Now(), call) })
+	var next []contract.CallID
+	s.ledger.With(h, func(l **engine.Ledger) {
+		(*l).Release(s.clock.Now(), call)
+		next = (*l).Next()
+	})
+	s.dropWaiting(h, call)
+	for _, c := range next {
+		if effect, ok := s.takeWaiting(h, c); ok {
+			s.pool.Start(effect)
+		}
+	}
 }
 
 // sweep ends calls whose grants were not renewed and drops old output.
--- a/instance/sidecar/stream.go
+++ b/instance/sidecar/stream.go
@@ -66,11 +66,13 @@
 	held := table.NewHeld()
 	next := q.Offset
 	done := false
+	pace := &pace{sidecar: s, held: held, call: q.Call, limit: q.MaxTokens}
 	ctx, watch := s.watchTransfer(ctx, q.Call)
 	defer watch.end()
 	emit := func(chunk contract.Chunk) error {
 		watch.arrived()
 		chunk.Call = q.Call
+		pace.took(s.clock.Now(), chunk)
 		if fresh, ok := after(chunk, next); ok {
 			s.put(held, q.From, fresh)
 			next = fresh.Offset + contract.Tokens(len(fresh.Texts))
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -61,6 +61,10 @@
 	ask     Ask
 	opens   time.Time
 	expires time.Time
+	// number rises with each grant.
+	number uint64
+	// ends is when a running call ends at the latest; zero when not known.
+	ends time.Time
 	// running means that the upstream has the call.
 	running bool
 	// lapsed means that Lapsed has returned the call.
@@ -77,8 +81,11 @@
 	grants   map[contract.CallID]*grant
 	prefills map[contract.CallID]*grant
 	blocks   int
-	queued   contract.Tokens
-	link     *transfer.Schedule
+	granted  uint64
+	// waiting are calls that wait for a place that they were granted ahead.
+	waiting []contract.CallID
+	queued  contract.Tokens
+	link    *transfer.Schedule
 }
 
 // NewLedger returns an empty ledger.
@@ -133,17 +140,22 @@
 	if held, ok := l.grants[a.Call]; ok {
 		return l.again(now, held, a)
 	}
-	if refusal := l.refuseNew(a); refusal != nil {
+	if refusal := l.closed(); refusal != nil {
+		return Grant{}, refusal
+	}
+	room, refusal := l.findRoom(now, a)
+	if refusal != nil {
 		return Grant{}, refusal
 	}
-	window := l.link.Find(a.Call, a.ImportBlocks, now.Add(a.ReadyIn))
+	window := l.link.Find(a.Call, a.ImportBlocks, room)
 	wait := window.Start.Sub(now) - a.ReadyIn
 	if l.limits.MaxWindowWait > 0 && wait > l.limits.MaxWindowWait {
 		return Grant{}, contract.RefuseRepeat(contract.CodeOverCapacity, wait, "the transfer link is reserved for too long")
 	}
 	l.link.Add(window)
 	l.blocks += a.Blocks
-	held := &grant{ask: a, opens: window.Start, expires: now.Add(l.limits.Lease)}
+	l.granted++
+	held := &grant{ask: a, opens: window.Start, expires: now.Add(l.limits.Lease), number: l.granted}
 	l.grants[a.Call] = held
 	return l.describe(now, held), nil
 }
@@ -161,19 +173,24 @@
 	return Grant{WindowIn: max(0, held.opens.Sub(now)), Lease: l.limits.Lease}
 }
 
-// refuseNew refuses work that finds no room. Lapsed grants count until they are
+// findRoom gives when the ask may import its KV cache: when that is ready, or
+// when a place becomes free soon after. Lapsed grants count until they are
 // released, because the upstream still holds their memory.
-func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
-	if refusal := l.closed(); refusal != nil {
-		return refusal
+func (l *Ledger) findRoom(now time.Time, a Ask) (time.Time, *contract.Refusal) {
+	ready := now.Add(a.ReadyIn)
+	if l.hasRoom(a) {
+		return ready, nil
 	}
+	at, ok := l.roomAt(a)
 	switch {
-	case len(l.grants) >= l.limits.Slots:
-		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no free slot", l.id))
-	case l.blocks+a.Blocks > l.limits.Blocks && a.Blocks > 0:
-		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no room for %d blocks", l.id, a.Blocks))
+	case !ok:
+		return ready, contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no room", l.id))
+	case a.ReadyIn <= 0 || at.Sub(ready) > aheadBy:
+		return ready, contract.RefuseRepeat(contract.CodeOverCapacity, max(0, at.Sub(ready)), fmt.Sprintf("upstream %s has no room in time", l.id))
+	case at.After(ready):
+		return at, nil
 	default:
-		return nil
+		return ready, nil
 	}
 }
 
--- a/upstream/engine/report.go
+++ b/upstream/engine/report.go
@@ -36,6 +36,7 @@
 
 // Load says what a new grant could take now.
 func (l *Ledger) Load(now time.Time) upstream.Load {
+	soonSlots, soonBlocks := l.soon(now)
 	load := upstream.Load{
 		Upstream:            l.id,
 		Role:                l.limits.Role,
@@ -43,6 +44,8 @@
 		FreeSlots:           max(0, l.limits.Slots-len(l.grants)),
 		Blocks:              l.limits.Blocks,
 		FreeBlocks:          max(0, l.limits.Blocks-l.blocks),
+		SoonSlots:           soonSlots,
+		SoonBlocks:          soonBlocks,
 		QueuedTokens:        l.queued,
 		PrefillPerSecond:    l.limits.PrefillPerSecond,
 		LinkBlocksPerSecond: l.limits.LinkBlocksPerSecond,
@@ -53,6 +56,7 @@
 	}
 	if l.down {
 		load.FreeSlots, load.FreeBlocks = 0, 0
+		load.SoonSlots, load.SoonBlocks = 0, 0
 	}
 	return load
 }
--- a/upstream/placement/choose.go
+++ b/upstream/placement/choose.go
@@ -24,6 +24,8 @@
 	unknownCost = 5 * time.Millisecond
 	// fullCost is the wait assumed at an upstream without room.
 	fullCost = time.Second
+	// soonCost is added while a place is free only soon.
+	soonCost = 30 * time.Millisecond
 	// crowdCost is added at a full batch, and in part before: tokens come
 	// slower from a larger batch.
 	crowdCost = 20 * time.Millisecond
@@ -164,6 +166,9 @@
 		c.estimate += fullCost
 	}
 	c.cost = c.estimate - hope + r.doubt(now)
+	if role != upstream.RolePrefill && r.known(now) && !r.fitsNow(n) {
+		c.cost += soonCost
+	}
 	if role != upstream.RolePrefill {
 		c.cost += time.Duration(r.occupancy() * float64(crowdCost))
 	}
--- a/upstream/placement/runner.go
+++ b/upstream/placement/runner.go
@@ -90,9 +90,18 @@
 	return r.load.FreeSlots - p.slots, r.load.FreeBlocks - p.blocks
 }
 
-// fits reports whether the need would find room by the estimate.
+// fitsNow reports whether the need would find room by the estimate.
+func (r *runner) fitsNow(n Need) bool {
+	slots, blocks := r.free()
+	return slots > 0 && (n.Blocks == 0 || blocks >= n.Blocks)
+}
+
+// fits is fitsNow, or soon: a sidecar grants places ahead that become free by
+// the time at which the KV cache is there.
 func (r *runner) fits(n Need) bool {
 	slots, blocks := r.free()
+	slots += r.load.SoonSlots
+	blocks += r.load.SoonBlocks
 	return slots > 0 && (n.Blocks == 0 || blocks >= n.Blocks)
 }
 
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -126,6 +126,9 @@
 	// could take now.
 	Slots, FreeSlots   int
 	Blocks, FreeBlocks int
+	// SoonSlots and SoonBlocks are what becomes free besides within about the
+	// time of a prefill.
+	SoonSlots, SoonBlocks int
 	// QueuedTokens are prompt tokens accepted and not yet prefilled.
 	QueuedTokens contract.Tokens
 	// PrefillPerSecond is the engine's prompt tokens a second.
