--- a/instance/sidecar/ahead.go
+++ b/instance/sidecar/ahead.go
@@ -67,6 +67,7 @@
 	next := chunk.Offset + contract.Tokens(len(chunk.Texts))
 	if p.first.IsZero() {
 		p.first, p.firstToken = now, next
+		p.sidecar.ledger.With(p.held, func(l **engine.Ledger) { (*l).Transferred(p.call) })
 	} else if next < p.noted+progressEvery && next < p.limit-progressEvery {
 		return
 	}
--- a/upstream/placement/timing.go
+++ b/upstream/placement/timing.go
@@ -44,26 +44,17 @@
 	return min(PriorityLevels-1, max(1, level))
 }
 
-// Feasible reports whether a model request can still have its first token
-// within the slack: the best prefill engine's queue, the prompt, and the
-// transfer to the best decode engine. It errs towards yes, because a refusal of
-// what could have been served is worse than a late answer.
-func (b *Board) Feasible(now time.Time, n Need) bool {
-	if n.Slack <= 0 {
-		return false
-	}
-	needed, ok := b.FirstTokenIn(now, n)
-	return !ok || needed <= n.Slack
-}
-
 // PrefillIn estimates how soon a prefill could be done. Unlike Prefill it counts
 // nothing as sent; ok is false when nothing is known about the engines.
 func (b *Board) PrefillIn(now time.Time, n Need) (needed time.Duration, ok bool) {
 	return b.least(now, poolKey{upstream.RolePrefill, string(n.Model)}, n)
 }
 
-// FirstTokenIn estimates the least time to the first token of a new request; ok
-// is false when nothing is known about the upstreams it needs.
+// FirstTokenIn estimates the least time to the first token of a new request: the
+// best prefill engine's queue and the prompt, or the link to the best decode
+// engine. What needs longer than its slack is refused early. It errs towards
+// less, because a refusal of what could have been served is worse than a late
+// answer; ok is false when nothing is known about the upstreams it needs.
 func (b *Board) FirstTokenIn(now time.Time, n Need) (needed time.Duration, ok bool) {
 	prefill, known := b.least(now, poolKey{upstream.RolePrefill, string(n.Model)}, n)
 	if !known {
--- a/upstream/placement/timing_test.go
+++ b/upstream/placement/timing_test.go
@@ -12,8 +12,9 @@
 
 const ms = time.Millisecond
 
-// TestFeasible asks for a prompt of 1,000 tokens, which takes 100 ms.
-func TestFeasible(t *testing.T) {
+// TestFirstTokenIn tells whether a prompt of 1,000 tokens, which takes 100 ms,
+// could have its first token within a slack.
+func TestFirstTokenIn(t *testing.T) {
 	queue := func(tokens contract.Tokens) func(b *Board) {
 		return func(b *Board) {
 			for _, id := range []upstream.ID{"pa", "pb"} {
@@ -47,7 +48,6 @@
 		{"the link is taken for too long", link(400 * ms), 300 * ms, 0, false},
 		{"the link opens in time", link(200 * ms), 300 * ms, 0, true},
 		{"a cached prefix may help", func(b *Board) { queue(2000)(b); b.PrefixStored(start, "pa", 7) }, 290 * ms, 0, true},
-		{"late already", func(*Board) {}, 0, 0, false},
 		{"nothing is known", func(b *Board) { b.SetUpstreams(start, nil) }, 1 * ms, 0, true},
 		{"old reports say nothing", queue(99_000), 1 * ms, time.Minute, true},
 	}
@@ -56,8 +56,9 @@
 		c.change(b)
 		n := need
 		n.Slack, n.Prefix = c.slack, 7
-		if got := b.Feasible(start.Add(c.at), n); got != c.want {
-			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		needed, known := b.FirstTokenIn(start.Add(c.at), n)
+		if got := !known || needed <= c.slack; got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, needed, c.want)
 		}
 	}
 }
