--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -166,6 +166,7 @@
 	if gone {
 		for _, call := range e.tracked(h, addr) {
 			effects = append(effects, e.lost(h, addr, call)...)
+			e.stopWaiting(h, addr, call)
 			e.untrack(h, addr, call)
 		}
 	}
@@ -179,6 +180,24 @@
 	e.board.With(h, func(b **placement.Board) { (*b).FailedAt(now, addr) })
 }
 
+// waits notes how to end the wait for the answer to what an attempt has sent.
+func (e *Entry) waits(call contract.CallID, stop context.CancelFunc) {
+	e.updateCall(table.NewHeld(), call, func(r *request) { r.stop = stop })
+}
+
+// stopWaiting ends the wait for an answer from a sidecar that stays silent, which
+// may be cut off without its connection having broken.
+func (e *Entry) stopWaiting(h *table.Held, addr string, call contract.CallID) {
+	e.updateCall(h, call, func(r *request) {
+		prefills := r.prefill != nil && r.prefill.Addr == addr
+		calls := r.calling != nil && r.calling.Addr == addr
+		if r.stop != nil && (prefills || calls) {
+			r.stop()
+			r.stop = nil
+		}
+	})
+}
+
 // lost moves a call that its sidecar does not know to another upstream. Prefills
 // are not moved here: their own reply tells.
 func (e *Entry) lost(h *table.Held, addr string, call contract.CallID) []pool.Effect {
