Move calls of a crashed engine at once, and serve resumed answers first

Cause: after a crash each broken stream was resumed three times with a pause before the entry heard of it, and a request that has part of its answer was queued as late, behind all that could still meet their target. Change: the sidecar looks at the engine before it resumes; the fair queue puts resumed requests first in their account's line.

--- a/contract/fair/fair.go
+++ b/contract/fair/fair.go
@@ -28,11 +28,14 @@
 	GiveUpAt time.Time
 	// Patient requests stay in the queue after StartBy.
 	Patient bool
+	// Resumed requests have part of their answer already: they come first in
+	// their account's line and are never late.
+	Resumed bool
 }
 
 // late reports whether the item can no longer meet its target.
 func (i *Item) late(now time.Time) bool {
-	return !i.StartBy.IsZero() && now.After(i.StartBy)
+	return !i.Resumed && !i.StartBy.IsZero() && now.After(i.StartBy)
 }
 
 // over reports whether the item must be refused.
--- a/contract/fair/weighted.go
+++ b/contract/fair/weighted.go
@@ -72,9 +72,15 @@
 	return l
 }
 
-// lessSlack orders items by their latest start; those without a target last.
+// lessSlack orders items by their latest start; resumed ones come first, those
+// without a target last.
 func lessSlack(a, b Item) int {
 	switch {
+	case a.Resumed != b.Resumed:
+		if a.Resumed {
+			return -1
+		}
+		return 1
 	case a.StartBy.Equal(b.StartBy):
 		return a.Arrived.Compare(b.Arrived)
 	case a.StartBy.IsZero():
--- a/instance/entry/queue.go
+++ b/instance/entry/queue.go
@@ -79,6 +79,7 @@
 		StartBy:  now.Add(r.slack(now) - least),
 		GiveUpAt: r.Deadline,
 		Patient:  r.Route.Patient || r.next > 0,
+		Resumed:  r.next > 0,
 	}
 }
 
--- a/instance/sidecar/crash.go
+++ b/instance/sidecar/crash.go
@@ -94,10 +94,12 @@
 
 // broke is called from a link's goroutine when the upstream broke off a call. It
 // looks at the upstream before the call's failure is told, so that the entry
-// hears of the suspects before it tries them elsewhere.
-func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) {
+// hears of the suspects before it tries them elsewhere. lives says that the
+// upstream is there and has not been restarted, so that it may still know the
+// call.
+func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) (lives bool) {
 	if !errors.Is(err, link.ErrGone) && !errors.Is(err, link.ErrUnknownCall) {
-		return
+		return true
 	}
 	h := table.NewHeld()
 	now := s.clock.Now()
@@ -105,9 +107,9 @@
 	seen := s.look(ctx)
 	if !seen.up {
 		s.silentAfterBreak(h)
-		return
+		return false
 	}
-	s.saw(h, seen)
+	return !s.saw(h, seen)
 }
 
 // silentAfterBreak counts an upstream that broke off a call and does not answer
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -165,7 +165,7 @@
 	}
 	perform := func(ctx context.Context) pool.Step {
 		ctx = s.attach(ctx, r)
-		err := s.stream(ctx, q, granted.Priority)
+		err := s.stream(ctx, q, granted.Priority, granted.Fingerprint)
 		if err == nil {
 			s.finished(granted.Fingerprint)
 			return finish(nil)
--- a/instance/sidecar/stream.go
+++ b/instance/sidecar/stream.go
@@ -62,7 +62,7 @@
 
 // stream reads a call's output; a stream that breaks while the engine still
 // knows the call is resumed where it broke.
-func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int) error {
+func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int, fp contract.Fingerprint) error {
 	held := table.NewHeld()
 	next := q.Offset
 	done := false
@@ -94,6 +94,9 @@
 		return errStalled
 	}
 	for try := 0; try < resumeTries && errors.Is(err, link.ErrGone) && !done; try++ {
+		if !s.broke(ctx, fp, err) {
+			return err
+		}
 		if !pause(ctx, resumeWait) {
 			return context.Cause(ctx)
 		}
--- a/instance/sidecar/watch.go
+++ b/instance/sidecar/watch.go
@@ -83,9 +83,8 @@
 	return news
 }
 
-// saw takes in what a look showed.
-func (s *Sidecar) saw(h *table.Held, seen sight) {
-	crashed := false
+// saw takes in what a look showed and reports whether it shows a crash.
+func (s *Sidecar) saw(h *table.Held, seen sight) (crashed bool) {
 	down := false
 	s.suspects.With(h, func(x *suspects) {
 		crashed = x.saw(seen)
@@ -101,6 +100,7 @@
 	if crashed {
 		s.crashed(h)
 	}
+	return crashed
 }
 
 // limitsOf takes over what an engine reports of itself; a zero says nothing.
