--- a/instance/sidecar/crash.go
+++ b/instance/sidecar/crash.go
@@ -95,11 +95,13 @@
 // broke is called from a link's goroutine when the upstream broke off a call. It
 // looks at the upstream before the call's failure is told, so that the entry
 // hears of the suspects before it tries them elsewhere. A call that could not be
-// sent is no suspect, but shows as well that the upstream may be down.
-func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) {
+// sent is no suspect, but shows as well that the upstream may be down. lives says
+// that the upstream is there and has not been restarted, so that it may still know
+// the call.
+func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) (lives bool) {
 	brokeOff := errors.Is(err, link.ErrGone) || errors.Is(err, link.ErrUnknownCall)
 	if !brokeOff && !errors.Is(err, link.ErrNotSent) {
-		return
+		return true
 	}
 	h := table.NewHeld()
 	now := s.clock.Now()
@@ -109,9 +111,9 @@
 	seen := s.look(ctx)
 	if !seen.up {
 		s.silentAfterBreak(h)
-		return
+		return false
 	}
-	s.saw(h, seen)
+	return !s.saw(h, seen)
 }
 
 // silentAfterBreak counts an upstream that broke off a call and does not answer
