--- a/contract/rate/promise.go
+++ b/contract/rate/promise.go
@@ -53,6 +53,7 @@
 	closed bool
 	// before is until when the promises of the epoch before last.
 	before  time.Time
+	held    time.Time
 	heardAt map[instance.Name]time.Time
 	seq     uint64
 	renewed time.Time
@@ -78,6 +79,11 @@
 
 // heldUntil is when the right to spend ends, if nothing more is heard.
 func (t *tenure) heldUntil() time.Time {
+	return t.held
+}
+
+// workOutHeld is called when a promise or the layout changed.
+func (t *tenure) workOutHeld() time.Time {
 	until := t.before
 	if !contains(t.layout.Members, t.self) {
 		return until
@@ -129,6 +135,7 @@
 	t.closed = len(next.GrantorsBefore) == 0
 	t.pledges = make(map[instance.Name]*pledge)
 	t.renewed = time.Time{}
+	t.held = t.workOutHeld()
 }
 
 // heard records in which epoch another entry is, and for how long.
@@ -229,6 +236,7 @@
 	until := p.sent[number%renewals].Add(t.lease)
 	if until.After(p.until) {
 		p.until = until
+		t.held = t.workOutHeld()
 	}
 }
 
