Settings: take out what rates do not take

The lease of promises is one constant, since grantors and receivers must agree on it: entries with different settings would pass the bound. No entry leases single owners, so that baseline is for the measurement only; choosing it refused every request.

--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -71,12 +71,8 @@
 
 // Rates says how an account's rate is kept across the entries.
 type Rates struct {
-	// Policy is "escrow", "fixed-split" or "single-owner"; default "escrow".
+	// Policy is "escrow" or "fixed-split"; default "escrow".
 	Policy string `toml:"policy"`
-	// Promise is the lease of a promise between two entries; default 2s.
-	Promise Duration `toml:"promise"`
-	// Heartbeat is the time between two heartbeats of a pair; default 250ms.
-	Heartbeat Duration `toml:"heartbeat"`
 }
 
 // Placement says how upstreams are chosen.
@@ -123,7 +119,7 @@
 		Platform:  defaultPlatform(),
 		Workers:   defaultWorkers,
 		Limits:    defaultCallerLimits(),
-		Rates:     Rates{Policy: rate.DefaultPolicy, Promise: of(2 * time.Second), Heartbeat: of(250 * time.Millisecond)},
+		Rates:     Rates{Policy: rate.DefaultPolicy},
 		Placement: Placement{Policy: PlacementReserve, Watch: 16, Queue: fair.QueueWeighted},
 		Trust:     Trust{Rule: zone.DefaultTrustRule.String()},
 		Claims:    Claims{Keep: of(24 * time.Hour), SweepEvery: of(10 * time.Second), SweepBatch: 50},
@@ -210,12 +206,7 @@
 }
 
 func (r *Rates) check(c *checker) {
-	c.oneOf("rates.policy", r.Policy, rate.PolicyEscrow, rate.PolicyFixedSplit, rate.PolicySingleOwner)
-	c.duration("rates.promise", r.Promise, 100*time.Millisecond, time.Minute)
-	c.duration("rates.heartbeat", r.Heartbeat, 10*time.Millisecond, time.Minute)
-	if 2*r.Heartbeat.Duration > r.Promise.Duration {
-		c.add("rates.promise", "must be at least twice rates.heartbeat, so that one lost heartbeat ends no promise")
-	}
+	c.oneOf("rates.policy", r.Policy, rate.PolicyEscrow, rate.PolicyFixedSplit)
 }
 
 func (l *CallerLimits) check(c *checker) {
