Give back what was charged to a request that ended meanwhile

A caller that left between the grant and the step that goes on with its request took the cost with it. A grant now names its account and cost, and the step settles it when the request is gone.

--- a/contract/rate/fixed.go
+++ b/contract/rate/fixed.go
@@ -104,7 +104,7 @@
 		switch {
 		case b.tokens >= float64(w.cost):
 			b.tokens -= float64(w.cost)
-			result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: true})
+			result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: true, Account: w.account, Cost: w.cost})
 		case !now.Before(w.until):
 			after := until(w.cost, b.tokens, perSecond)
 			result.Decided = append(result.Decided, Decided{Ticket: w.id, After: after})
--- a/contract/rate/handover.go
+++ b/contract/rate/handover.go
@@ -123,7 +123,7 @@
 		}
 		a.spend(now, t.cost)
 		e.credit(now, a)
-		result.Decided = append(result.Decided, Decided{Ticket: t.id, Granted: true})
+		result.Decided = append(result.Decided, Decided{Ticket: t.id, Granted: true, Account: a.id, Cost: contract.Tokens(t.cost)})
 		return true
 	})
 }
--- a/contract/rate/owner.go
+++ b/contract/rate/owner.go
@@ -135,7 +135,7 @@
 		s.waiting = slices.DeleteFunc(s.waiting, func(w ownerTicket) bool {
 			mine := w.ask != 0 && w.ask == g.Ask && g.Amount > 0
 			if mine {
-				result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: true})
+				result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: true, Account: w.account, Cost: w.cost})
 			}
 			return mine
 		})
@@ -152,7 +152,7 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w ownerTicket) bool {
 		got, after := s.take(now, w.account, w.cost)
 		if got || !now.Before(w.until) {
-			result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: got, After: after})
+			result.Decided = append(result.Decided, Decided{Ticket: w.id, Granted: got, Account: w.account, Cost: w.cost, After: after})
 			return true
 		}
 		return false
--- a/contract/rate/policy.go
+++ b/contract/rate/policy.go
@@ -72,6 +72,10 @@
 type Decided struct {
 	Ticket  contract.RequestID
 	Granted bool
+	// Account and Cost are those of the ticket: a grant that comes too late for
+	// its request is settled with them.
+	Account contract.AccountID
+	Cost    contract.Tokens
 	// After is when a refused request may be repeated.
 	After time.Duration
 }
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -121,7 +121,7 @@
 func (e *Entry) charge(h *table.Held, r *request) []pool.Effect {
 	cost := r.Cost()
 	if r.Route.Open || cost == 0 {
-		return e.charged(h, r.ID, 0)
+		return e.charged(h, r.ID, r.Account, 0)
 	}
 	now := e.clock.Now()
 	var verdict rate.Verdict
@@ -131,7 +131,7 @@
 	effects := e.sendRates(h, verdict.Out)
 	switch verdict.State {
 	case rate.Granted:
-		return append(effects, e.charged(h, r.ID, cost)...)
+		return append(effects, e.charged(h, r.ID, r.Account, cost)...)
 	case rate.Refused:
 		refusal := contract.RefuseRepeat(contract.CodeRateLimited, verdict.After, "the client account is over its rate")
 		return append(effects, e.finish(h, r.ID, refusal)...)
@@ -140,8 +140,9 @@
 	}
 }
 
-// charged goes on with a request whose cost was taken.
-func (e *Entry) charged(h *table.Held, id contract.RequestID, cost contract.Tokens) []pool.Effect {
+// charged goes on with a request whose cost was taken. If it ended meanwhile, the
+// cost is given back.
+func (e *Entry) charged(h *table.Held, id contract.RequestID, account contract.AccountID, cost contract.Tokens) []pool.Effect {
 	service, once := false, false
 	found := e.update(h, id, func(r *request) {
 		r.charged = cost
@@ -150,6 +151,8 @@
 	})
 	switch {
 	case !found:
+		now := e.clock.Now()
+		e.rates.With(h, func(p *rate.Policy) { (*p).Settle(now, account, cost, 0) })
 		return nil
 	case service && once:
 		return e.startClaim(h, id)
--- a/instance/entry/timers.go
+++ b/instance/entry/timers.go
@@ -65,11 +65,7 @@
 		refusal := contract.RefuseRepeat(contract.CodeRateLimited, d.After, "the client account is over its rate")
 		return e.finish(h, d.Ticket, refusal)
 	}
-	var cost contract.Tokens
-	if !e.update(h, d.Ticket, func(r *request) { cost = r.Cost() }) {
-		return nil
-	}
-	return e.charged(h, d.Ticket, cost)
+	return e.charged(h, d.Ticket, d.Account, d.Cost)
 }
 
 // refresh reads what others publish.
