Ask all witnesses before saying "not run" while the table is down

Change: a witness knows attempts by claim and body too. While the row cannot be read, the entry asks all sidecars of the pool: a repeat gets its outcome, or "unknown", also if a sidecar gives no reply.

Left: a sidecar that is replaced during the outage has forgotten.

--- a/contract/claim/action.go
+++ b/contract/claim/action.go
@@ -21,6 +21,9 @@
 	DoSend
 	// DoAsk asks Witness what became of Call, then Asked.
 	DoAsk
+	// DoSurvey asks all sidecars of the pool what became of the claim's
+	// attempts, since the row cannot be read, then Surveyed.
+	DoSurvey
 	// DoPause waits for Pause(Looks), then Paused.
 	DoPause
 	// DoDeliver gives the caller the answer that came with the event.
@@ -29,7 +32,7 @@
 	DoRefuse
 )
 
-var doNames = [...]string{"nothing", "grant", "claim", "read", "send", "ask", "pause", "deliver", "refuse"}
+var doNames = [...]string{"nothing", "grant", "claim", "read", "send", "ask", "survey", "pause", "deliver", "refuse"}
 
 // String gives the word used in logs.
 func (d Do) String() string {
--- a/contract/claim/claim.go
+++ b/contract/claim/claim.go
@@ -23,8 +23,17 @@
 	Idempotency string
 }
 
-// Hash gives a name of fixed length that tells nothing of the key.
-func (k Key) Hash() [sha256.Size]byte {
+// KeyHash names a claim without telling anything of its key.
+type KeyHash [sha256.Size]byte
+
+// With names a claim together with its body, as witnesses know it.
+func (k Key) With(body BodyHash) KeyHash {
+	hash := k.Hash()
+	return hashOf(string(hash[:]), string(body[:]))
+}
+
+// Hash gives the claim's name in the table.
+func (k Key) Hash() KeyHash {
 	return hashOf(string(k.Account), string(k.Route), k.Idempotency)
 }
 
--- a/contract/claim/look.go
+++ b/contract/claim/look.go
@@ -40,11 +40,29 @@
 	}
 	m.reads++
 	if m.reads >= maxReads || m.unplaced == storeRefusal {
-		return m.refuseNotRun(storeRefusal)
+		m.phase = phaseSurvey
+		return Action{Do: DoSurvey, Call: m.call}
 	}
 	return m.pause()
 }
 
+// Surveyed goes on with what all witnesses say of other attempts while the row
+// cannot be read. FateForgotten means that one of them gave no reply.
+func (m *Machine) Surveyed(fate Fate) Action {
+	if m.phase != phaseSurvey {
+		return Action{}
+	}
+	switch fate {
+	case FateNever:
+		return m.refuseNotRun(storeRefusal)
+	case FateDone:
+		return m.over(Action{Do: DoDeliver, Duty: m.release()})
+	default:
+		refusal := maybeRan(storeRefusal.Code, "the platform's table cannot be reached, and the request may have run before")
+		return m.over(Action{Do: DoRefuse, Refusal: refusal, Duty: m.release()})
+	}
+}
+
 // Read goes on with the row as it stands.
 func (m *Machine) Read(row Row) Action {
 	if m.phase != phaseRead {
--- a/contract/claim/machine.go
+++ b/contract/claim/machine.go
@@ -15,6 +15,7 @@
 	phaseRead
 	phaseSend
 	phaseAsk
+	phaseSurvey
 	phasePause
 	phaseOver
 )
--- a/contract/claim/walk_test.go
+++ b/contract/claim/walk_test.go
@@ -398,11 +398,25 @@
 		k.stepSend(w, i, mine)
 	case DoAsk:
 		k.stepAsk(w, i, e.about)
+	case DoSurvey:
+		k.stepSurvey(w, i)
 	case DoPause:
 		k.each(w, i, func(_ *world, m *Machine) Action { return m.Paused() })
 	}
 }
 
+func (k *walker) stepSurvey(w world, i int) {
+	fates := map[Fate]bool{FateNever: true, FateForgotten: true}
+	for _, c := range []int8{0, 1, 2, 3} {
+		if int(c)/walkAttempts != i {
+			fates[w.fates[c]] = true
+		}
+	}
+	for fate := range fates {
+		k.each(w, i, func(_ *world, m *Machine) Action { return m.Surveyed(fate) })
+	}
+}
+
 // count puts the counters of tries at their start or before their bounds, since
 // how often something was tried makes no other difference.
 func (m *Machine) count(last bool) {
--- a/contract/claim/witness.go
+++ b/contract/claim/witness.go
@@ -63,6 +63,7 @@
 
 // memory is what a witness keeps of one attempt.
 type memory struct {
+	key     KeyHash
 	fate    Fate
 	answer  contract.ServiceAnswer
 	dropped bool
@@ -87,7 +88,7 @@
 }
 
 // Grant lets an attempt be sent within GrantLease. An attempt gets one grant.
-func (w *Witness) Grant(now time.Time, call contract.CallID) *contract.Refusal {
+func (w *Witness) Grant(now time.Time, call contract.CallID, key KeyHash) *contract.Refusal {
 	w.sweep(now)
 	if _, there := w.calls[call]; there {
 		return contract.Refuse(contract.CodeStaleGrant, "the attempt had its grant already")
@@ -95,7 +96,7 @@
 	if len(w.calls) >= RememberCalls && !w.forgetOldest() {
 		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, "the sidecar has too many calls that may not be repeated")
 	}
-	w.calls[call] = &memory{fate: FatePending, until: now.Add(GrantLease)}
+	w.calls[call] = &memory{key: key, fate: FatePending, until: now.Add(GrantLease)}
 	w.granted = append(w.granted, call)
 	return nil
 }
@@ -157,6 +158,23 @@
 	return m.fate, m.answer, m.dropped
 }
 
+// AskKey tells what became of a claim's attempts here, but for those of one
+// request. FateNever means that no other was sent, as far as is remembered.
+func (w *Witness) AskKey(now time.Time, key KeyHash, but contract.RequestID) (fate Fate, answer contract.ServiceAnswer, dropped bool) {
+	w.sweep(now)
+	fate = FateNever
+	for call, m := range w.calls {
+		if m.key != key || call.Request == but || m.fate == FateNever {
+			continue
+		}
+		fate = m.fate
+		if fate == FateDone {
+			return fate, m.answer, m.dropped
+		}
+	}
+	return fate, answer, false
+}
+
 // end starts the time for which an attempt is remembered.
 func (w *Witness) end(now time.Time, call contract.CallID, m *memory) {
 	m.until = now.Add(RememberFor)
--- a/instance/entry/claim.go
+++ b/instance/entry/claim.go
@@ -155,6 +155,8 @@
 		return append(effects, e.claimSend(h, id, run, a))
 	case claim.DoAsk:
 		return []pool.Effect{e.claimAsk(h, id, a)}
+	case claim.DoSurvey:
+		return []pool.Effect{e.claimSurvey(h, id, run, a.Call)}
 	case claim.DoPause:
 		e.pool.After(claim.Pause(a.Looks), e.claimStep(id, func(run *claimRun) claim.Action { return run.machine.Paused() }))
 		return nil
@@ -208,7 +210,7 @@
 	now := e.clock.Now()
 	var choices []placement.Choice
 	e.board.With(h, func(b **placement.Board) { choices = (*b).Service(now, run.need) })
-	q := &peer.ReserveRequest{Header: e.header(h), Call: call, Fingerprint: run.message.Fingerprint, Once: true}
+	q := &peer.ReserveRequest{Header: e.header(h), Call: call, Fingerprint: run.message.Fingerprint, Once: true, ClaimKey: run.key.With(run.body)}
 	result := asked{call: call}
 	perform := func(ctx context.Context) pool.Step {
 		for i := range choices {
--- a/instance/entry/once_test.go
+++ b/instance/entry/once_test.go
@@ -382,6 +382,15 @@
 		}
 		w.platform.Store.SetDown(true)
 		send("down", "no store_unavailable")
+		if got := w.sendKey(1, "up0", "amount 5"); got != "entered" {
+			t.Errorf("a repeat while the table is down: %q", got)
+		}
+		if got := w.sendKey(1, "up0", "amount 6"); got != "no store_unavailable" {
+			t.Errorf("another body while the table is down: %q", got)
+		}
+		if got := w.sendKey(1, "fault", "panic"); got != "unknown store_unavailable" {
+			t.Errorf("a repeat of what may have run, while the table is down: %q", got)
+		}
 		if ran := w.service.runs.Load(); ran != calls+1 {
 			t.Errorf("ran %d times, want %d", ran, calls+1)
 		}
--- a/instance/sidecar/once.go
+++ b/instance/sidecar/once.go
@@ -9,10 +9,10 @@
 
 // grantOnce lets an attempt that may not be repeated be sent here, once. The
 // place that was reserved for it is given back if it gets no grant.
-func (s *Sidecar) grantOnce(h *table.Held, call contract.CallID) (refusal *contract.Refusal) {
-	s.witness.With(h, func(w **claim.Witness) { refusal = (*w).Grant(s.clock.Now(), call) })
+func (s *Sidecar) grantOnce(h *table.Held, q *peer.ReserveRequest) (refusal *contract.Refusal) {
+	s.witness.With(h, func(w **claim.Witness) { refusal = (*w).Grant(s.clock.Now(), q.Call, q.ClaimKey) })
 	if refusal != nil {
-		s.release(h, call)
+		s.release(h, q.Call)
 	}
 	return refusal
 }
@@ -28,11 +28,16 @@
 	s.witness.With(h, func(w **claim.Witness) { (*w).Finish(s.clock.Now(), call, answer, refusal) })
 }
 
-// tellFate answers what became of an attempt.
-func (s *Sidecar) tellFate(h *table.Held, call contract.CallID) *peer.ServiceReply {
+// tellFate answers what became of an attempt, or of a claim's attempts.
+func (s *Sidecar) tellFate(h *table.Held, q *peer.ServiceRequest) *peer.ServiceReply {
 	reply := &peer.ServiceReply{Header: s.header()}
 	s.witness.With(h, func(w **claim.Witness) {
-		reply.Fate, reply.Answer, reply.Dropped = (*w).Ask(s.clock.Now(), call)
+		now := s.clock.Now()
+		if q.AskKey {
+			reply.Fate, reply.Answer, reply.Dropped = (*w).AskKey(now, q.ClaimKey, q.Call.Request)
+			return
+		}
+		reply.Fate, reply.Answer, reply.Dropped = (*w).Ask(now, q.Call)
 	})
 	reply.Load = s.load(h)
 	return reply
--- a/instance/sidecar/reserve.go
+++ b/instance/sidecar/reserve.go
@@ -38,7 +38,7 @@
 			})
 		})
 		if reply.Refusal == nil && q.Once {
-			reply.Refusal = s.grantOnce(h, q.Call)
+			reply.Refusal = s.grantOnce(h, q)
 		}
 		reply.WindowIn = grant.WindowIn
 		reply.Lease = grant.Lease
--- a/instance/sidecar/service.go
+++ b/instance/sidecar/service.go
@@ -33,7 +33,7 @@
 	}
 	s.heard(h, q.Header)
 	if q.AskOnly {
-		answer(s.tellFate(h, q.Call))
+		answer(s.tellFate(h, q))
 		return nil
 	}
 	refusal := s.refuseNewWork(h, q.Fingerprint)
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -159,7 +159,8 @@
 	}
 	t.Logf("answered %d of %d; ran_twice %d, false_not_run %d, answered_twice %d; refusals %v; told \"no\" of a later try %d",
 		answered, len(calls), ranTwice, falseNotRun, answeredTwice, said, notRunAfter)
-	if ranTwice+falseNotRun+answeredTwice+wrong > 0 {
-		t.Errorf("ran_twice %d, false_not_run %d, answered_twice %d, wrong answers %d", ranTwice, falseNotRun, answeredTwice, wrong)
+	if ranTwice+falseNotRun+answeredTwice+wrong+notRunAfter > 0 {
+		t.Errorf("ran_twice %d, false_not_run %d, answered_twice %d, wrong answers %d, told \"no\" after it ran %d",
+			ranTwice, falseNotRun, answeredTwice, wrong, notRunAfter)
 	}
 }
--- a/link/peer/sidecar.go
+++ b/link/peer/sidecar.go
@@ -47,8 +47,10 @@
 	Priority     int
 	// ReadyIn is when the KV cache can be there at the earliest.
 	ReadyIn time.Duration
-	// Once asks for a grant to send a call that may not be repeated.
-	Once bool
+	// Once asks for a grant to send a call that may not be repeated, for the
+	// claim ClaimKey.
+	Once     bool
+	ClaimKey claim.KeyHash
 }
 
 // ReserveReply holds either a grant or a refusal.
@@ -123,8 +125,10 @@
 	Once bool
 	// Granted calls are sent only under a grant made by Reserve with Once.
 	Granted bool
-	// AskOnly sends nothing and asks what became of Call.
-	AskOnly bool
+	// AskOnly sends nothing and asks what became of Call. With AskKey it asks
+	// what became of the attempts for ClaimKey, but for those of Call's request.
+	AskOnly, AskKey bool
+	ClaimKey        claim.KeyHash
 }
 
 // ServiceReply holds either an answer or a refusal.
