--- a/instance/sidecar/stream.go
+++ b/instance/sidecar/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -62,15 +63,17 @@
 
 // stream reads a call's output; a stream that breaks while the engine still
 // knows the call is resumed where it broke.
-func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int) error {
+func (s *Sidecar) stream(ctx context.Context, q *peer.DecodeRequest, priority int, fp contract.Fingerprint) error {
 	held := table.NewHeld()
 	next := q.Offset
 	done := false
+	pace := &pace{sidecar: s, held: held, call: q.Call, limit: q.MaxTokens}
 	ctx, watch := s.watchTransfer(ctx, q.Call)
 	defer watch.end()
 	emit := func(chunk contract.Chunk) error {
 		watch.arrived()
 		chunk.Call = q.Call
+		pace.took(s.clock.Now(), chunk)
 		if fresh, ok := after(chunk, next); ok {
 			s.put(held, q.From, fresh)
 			next = fresh.Offset + contract.Tokens(len(fresh.Texts))
@@ -92,10 +95,17 @@
 		return errStalled
 	}
 	for try := 0; try < resumeTries && errors.Is(err, link.ErrGone) && !done; try++ {
+		if !s.broke(ctx, fp, err) {
+			return err
+		}
 		if !pause(ctx, resumeWait) {
 			return context.Cause(ctx)
 		}
 		err = s.engine.Resume(ctx, q.Call, next, emit)
+		if errors.Is(err, link.ErrNotSent) {
+			// Only the question was not sent: the call itself ran.
+			err = fmt.Errorf("%w: not reached to resume: %v", link.ErrGone, err)
+		}
 	}
 	if err == nil && !done {
 		return link.ErrGone
--- a/upstream/engine/ledger.go
+++ b/upstream/engine/ledger.go
@@ -5,7 +5,6 @@
 package engine
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -61,6 +60,10 @@
 	ask     Ask
 	opens   time.Time
 	expires time.Time
+	// number rises with each grant.
+	number uint64
+	// ends is when a running call ends at the latest; zero when not known.
+	ends time.Time
 	// running means that the upstream has the call.
 	running bool
 	// lapsed means that Lapsed has returned the call.
@@ -77,8 +80,11 @@
 	grants   map[contract.CallID]*grant
 	prefills map[contract.CallID]*grant
 	blocks   int
-	queued   contract.Tokens
-	link     *transfer.Schedule
+	granted  uint64
+	// waiting are calls that wait for a place that they were granted ahead.
+	waiting []contract.CallID
+	queued  contract.Tokens
+	link    *transfer.Schedule
 }
 
 // NewLedger returns an empty ledger.
@@ -127,93 +133,6 @@
 	l.down = down
 }
 
-// Reserve grants a slot, blocks and a window on the import link, all or
-// nothing. Asked again for a call that holds a grant, it renews that grant.
-func (l *Ledger) Reserve(now time.Time, a Ask) (Grant, *contract.Refusal) {
-	if held, ok := l.grants[a.Call]; ok {
-		return l.again(now, held, a)
-	}
-	if refusal := l.refuseNew(a); refusal != nil {
-		return Grant{}, refusal
-	}
-	window := l.link.Find(a.Call, a.ImportBlocks, now.Add(a.ReadyIn))
-	wait := window.Start.Sub(now) - a.ReadyIn
-	if l.limits.MaxWindowWait > 0 && wait > l.limits.MaxWindowWait {
-		return Grant{}, contract.RefuseRepeat(contract.CodeOverCapacity, wait, "the transfer link is reserved for too long")
-	}
-	l.link.Add(window)
-	l.blocks += a.Blocks
-	held := &grant{ask: a, opens: window.Start, expires: now.Add(l.limits.Lease)}
-	l.grants[a.Call] = held
-	return l.describe(now, held), nil
-}
-
-// again answers a repeated ask of the grant's own owner.
-func (l *Ledger) again(now time.Time, held *grant, a Ask) (Grant, *contract.Refusal) {
-	if !held.ownedBy(a.Owner) || !now.Before(held.expires) {
-		return Grant{}, contract.Refuse(contract.CodeStaleGrant, "the call's grant has lapsed or is another's")
-	}
-	held.expires = now.Add(l.limits.Lease)
-	return l.describe(now, held), nil
-}
-
-func (l *Ledger) describe(now time.Time, held *grant) Grant {
-	return Grant{WindowIn: max(0, held.opens.Sub(now)), Lease: l.limits.Lease}
-}
-
-// refuseNew refuses work that finds no room. Lapsed grants count until they are
-// released, because the upstream still holds their memory.
-func (l *Ledger) refuseNew(a Ask) *contract.Refusal {
-	if refusal := l.closed(); refusal != nil {
-		return refusal
-	}
-	switch {
-	case len(l.grants) >= l.limits.Slots:
-		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no free slot", l.id))
-	case l.blocks+a.Blocks > l.limits.Blocks && a.Blocks > 0:
-		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s has no room for %d blocks", l.id, a.Blocks))
-	default:
-		return nil
-	}
-}
-
-// closed refuses all new work of an upstream that is leaving or down.
-func (l *Ledger) closed() *contract.Refusal {
-	switch {
-	case l.leaving:
-		return contract.RefuseRepeat(contract.CodeDraining, 0, fmt.Sprintf("upstream %s is leaving", l.id))
-	case l.down:
-		return contract.RefuseRepeat(contract.CodeOverCapacity, 0, fmt.Sprintf("upstream %s does not answer", l.id))
-	default:
-		return nil
-	}
-}
-
-// AcceptPrefill queues a prompt, bounded by tokens. Release takes it out of the
-// queue. One prompt is accepted whatever its length when the queue is empty.
-func (l *Ledger) AcceptPrefill(now time.Time, a Ask) *contract.Refusal {
-	if _, ok := l.prefills[a.Call]; ok {
-		return nil
-	}
-	if refusal := l.closed(); refusal != nil {
-		return refusal
-	}
-	limit := l.limits.MaxQueuedTokens
-	if limit > 0 && l.queued > 0 && l.queued+a.Tokens > limit {
-		return contract.RefuseRepeat(contract.CodeOverCapacity, l.prefillTime(l.queued), fmt.Sprintf("upstream %s has %d prompt tokens queued", l.id, l.queued))
-	}
-	l.queued += a.Tokens
-	l.prefills[a.Call] = &grant{ask: a, expires: now.Add(l.limits.Lease)}
-	return nil
-}
-
-func (l *Ledger) prefillTime(tokens contract.Tokens) time.Duration {
-	if l.limits.PrefillPerSecond <= 0 {
-		return 0
-	}
-	return time.Duration(tokens) * time.Second / time.Duration(l.limits.PrefillPerSecond)
-}
-
 // Renew prolongs what the owner's calls hold and returns the calls that hold
 // nothing. What has lapsed is not prolonged: its holder was away too long.
 func (l *Ledger) Renew(now time.Time, owner instance.Identity, calls []contract.CallID) (unknown []contract.CallID) {
