Keep the sum of own sends, so that a burst does not slow decisions down

Cause: each decision summed up to 32 unreported sends of every candidate several times; at a burst of one send a microsecond a decision took 8 to 13 us. Change: the sum is kept.

--- a/upstream/placement/policy.go
+++ b/upstream/placement/policy.go
@@ -57,11 +57,10 @@
 
 // used gives a number that grows with the load in the work of a role.
 func (r *runner) used(role upstream.Role) int64 {
-	p := r.pending()
 	if role == upstream.RolePrefill {
-		return int64(r.load.QueuedTokens + p.tokens)
+		return int64(r.load.QueuedTokens + r.pending.tokens)
 	}
-	return int64(r.load.Slots - r.load.FreeSlots + p.slots)
+	return int64(r.load.Slots - r.load.FreeSlots + r.pending.slots)
 }
 
 // rankRandomOfTwo draws at random and puts the less loaded of the first two
--- a/upstream/placement/runner.go
+++ b/upstream/placement/runner.go
@@ -39,8 +39,10 @@
 	health     *health.Member
 	load       upstream.Load
 	seen       time.Time
-	sends      []send
-	cache      prefixes
+	// sends are in order of time; pending is their sum.
+	sends   []send
+	pending send
+	cache   prefixes
 }
 
 func (r *runner) choice(estimate time.Duration) Choice {
@@ -59,35 +61,43 @@
 	r.forget(now.Add(-settleTime))
 }
 
-// forget drops sends made before a time.
+// forget drops sends made before a time. They are in order of time.
 func (r *runner) forget(before time.Time) {
-	r.sends = slices.DeleteFunc(r.sends, func(s send) bool { return s.at.Before(before) })
+	old := 0
+	for old < len(r.sends) && r.sends[old].at.Before(before) {
+		old++
+	}
+	r.drop(old)
+}
+
+// drop forgets the first sends.
+func (r *runner) drop(count int) {
+	for _, s := range r.sends[:count] {
+		r.pending.add(s, -1)
+	}
+	r.sends = slices.Delete(r.sends, 0, count)
 }
 
 // sent remembers own work.
 func (r *runner) sent(s send) {
 	r.forget(s.at.Add(-staleAfter))
 	if len(r.sends) >= maxSends {
-		r.sends = slices.Delete(r.sends, 0, 1)
+		r.drop(1)
 	}
 	r.sends = append(r.sends, s)
+	r.pending.add(s, 1)
 }
 
-// pending sums the sends that the last report does not show.
-func (r *runner) pending() send {
-	var sum send
-	for _, s := range r.sends {
-		sum.slots += s.slots
-		sum.blocks += s.blocks
-		sum.tokens += s.tokens
-	}
-	return sum
+// add adds the work of other, times sign.
+func (s *send) add(other send, sign int) {
+	s.slots += sign * other.slots
+	s.blocks += sign * other.blocks
+	s.tokens += contract.Tokens(sign) * other.tokens
 }
 
 // free estimates the slots and blocks that a new grant could take.
 func (r *runner) free() (slots, blocks int) {
-	p := r.pending()
-	return r.load.FreeSlots - p.slots, r.load.FreeBlocks - p.blocks
+	return r.load.FreeSlots - r.pending.slots, r.load.FreeBlocks - r.pending.blocks
 }
 
 // fitsNow reports whether the need would find room by the estimate.
@@ -117,7 +127,7 @@
 // linkWait estimates how long the import link is taken, own sends included.
 func (r *runner) linkWait(now time.Time) time.Duration {
 	wait := r.load.TransferBacklog - now.Sub(r.seen)
-	return max(0, wait) + r.transferTime(r.pending().blocks)
+	return max(0, wait) + r.transferTime(r.pending.blocks)
 }
 
 // transferTime gives how long blocks take on the import link.
@@ -131,7 +141,7 @@
 // queueTime estimates how long the prefill queue takes, own sends included. The
 // queue drains while nobody reports.
 func (r *runner) queueTime(now time.Time) time.Duration {
-	queue := r.prefillTime(r.load.QueuedTokens + r.pending().tokens)
+	queue := r.prefillTime(r.load.QueuedTokens + r.pending.tokens)
 	return max(0, queue-now.Sub(r.seen))
 }
 
