--- a/instance/entry/spread_test.go
+++ b/instance/entry/spread_test.go
@@ -24,6 +24,7 @@
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/engine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -385,7 +386,14 @@
 			m := newMesh(t)
 			m.setCut(cut, "c", "a", "b", storeZone)
 			e := m.entries["e1-a"]
+			m.wait("e2-a")
 			service := operator.NewService(m.store, e, e, clock.System{})
+			for _, subject := range []operator.Subject{operator.Requests, operator.Rates} {
+				table, err := service.Query(t.Context(), operator.Query{Subject: subject})
+				if err != nil || len(table.Rows) != 1 || (len(table.Silent) == 2) != cut {
+					t.Errorf("cut %v: %s: %v, silent %v, %v", cut, subject, table.Rows, table.Silent, err)
+				}
+			}
 			set := operator.SetAccount{ID: "acme"}
 			outcome, err := service.Change(t.Context(), "asha", []operator.Change{set}, operator.Options{Wait: inForceWithin})
 			if err != nil {
@@ -401,3 +409,24 @@
 		})
 	}
 }
+
+// TestSuspectsSpread tells one entry of a request that crashes upstreams; all
+// entries hear of it.
+func TestSuspectsSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMesh(t)
+		m.setCut(true, "c", "a", storeZone)
+		q := &peer.HeartbeatRequest{}
+		q.Quarantine = []quarantine.Note{{Fingerprint: 7, For: time.Minute}}
+		if _, err := m.entries["e1-a"].Heartbeat(t.Context(), q); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(inForceWithin)
+		for name, e := range m.entries {
+			reply, err := e.Heartbeat(t.Context(), &peer.HeartbeatRequest{})
+			if err != nil || len(reply.Quarantine) != 1 || reply.Quarantine[0].Fingerprint != 7 {
+				t.Errorf("%s has not heard: %+v, %v", name, reply, err)
+			}
+		}
+	})
+}
