Read the list of instances only when it has changed

Cause: each entry reads the whole list every second; at 5,170 instances that is some 300 KB/s by calculation, against 10 KB/s for all control. Change: the list is read with its entity tag; an unchanged one is answered by 304 without a body. Measured: a test counts the lists sent: 2 in 5 reads with 1 change.

--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -5,8 +5,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/memplatform"
 	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
@@ -87,9 +91,17 @@
 func listInstances(p *memplatform.Platform, w http.ResponseWriter, r *http.Request) {
 	list, err := p.Instances.List(r.Context())
 	reply := rest.InstancesReply{Instances: []rest.Listed{}}
+	digest := xxhash.New()
 	for _, listed := range list {
 		reply.Instances = append(reply.Instances, rest.EncodeListed(listed))
+		fmt.Fprintf(digest, "%+v\n", listed)
+	}
+	tag := fmt.Sprintf("%q", strconv.FormatUint(digest.Sum64(), 16))
+	if err == nil && r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
 	}
+	w.Header().Set("ETag", tag)
 	answer(w, reply, err)
 }
 
--- a/link/platform/rest/client.go
+++ b/link/platform/rest/client.go
@@ -31,6 +31,8 @@
 type Client struct {
 	base string
 	http *http.Client
+	// list is the list of instances that was read last.
+	list atomic.Pointer[taggedList]
 }
 
 // New returns a client of the services at a base URL such as
@@ -78,6 +80,9 @@
 	body   []byte
 	// write says that a call without an answer may have taken effect.
 	write bool
+	// known is the entity tag of the reply at hand, empty if there is none;
+	// an unchanged one is not sent again.
+	known string
 }
 
 // exchange makes a call within CallTimeout and reads the whole reply.
@@ -108,12 +113,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
+	if q.known != "" {
+		req.Header.Set("If-None-Match", q.known)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		// Without a connection nothing can have been sent.
 		return nil, fmt.Errorf("%w: %w", noAnswer(q.write && connected.Load()), err)
 	}
-	if resp.StatusCode/100 == 2 {
+	if resp.StatusCode/100 == 2 || (q.known != "" && resp.StatusCode == http.StatusNotModified) {
 		return resp, nil
 	}
 	defer resp.Body.Close()
--- a/link/platform/rest/client_test.go
+++ b/link/platform/rest/client_test.go
@@ -84,3 +84,38 @@
 func status(code int) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
 }
+
+// TestUnchangedListIsNotSentAgain counts the lists that the service sends, and
+// checks that each read gives the list of the moment.
+func TestUnchangedListIsNotSentAgain(t *testing.T) {
+	p := memplatform.New()
+	served := standin.Handler(p)
+	sent := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		served.ServeHTTP(answer, r)
+		if answer.Code == http.StatusOK {
+			sent++
+		}
+		for name, values := range answer.Header() {
+			w.Header()[name] = values
+		}
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	}))
+	defer server.Close()
+	c := rest.New(server.URL, nil)
+	defer c.Close()
+	for i, step := range []struct {
+		put        string
+		want, sent int
+	}{{"a", 1, 1}, {"", 1, 1}, {"", 1, 1}, {"b", 2, 2}, {"", 2, 2}} {
+		if step.put != "" {
+			p.Instances.Put(platform.Listed{Name: step.put})
+		}
+		list, err := c.Instances().List(t.Context())
+		if err != nil || len(list) != step.want || sent != step.sent {
+			t.Errorf("step %d: %d instances, %d sent, %v; want %d and %d", i, len(list), sent, err, step.want, step.sent)
+		}
+	}
+}
--- a/link/platform/rest/services.go
+++ b/link/platform/rest/services.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 )
@@ -95,10 +96,43 @@
 
 type instances struct{ c *Client }
 
-// List implements platform.Instances.
+// taggedList is a list of instances and the entity tag of its reply.
+type taggedList struct {
+	tag  string
+	list []platform.Listed
+}
+
+// List implements platform.Instances. The list is long and seldom changes, so an
+// unchanged one is not sent again.
 func (i instances) List(ctx context.Context) ([]platform.Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
+	defer cancel()
+	last := i.c.list.Load()
+	q := call{method: http.MethodGet, path: PathInstances}
+	if last != nil {
+		q.known = last.tag
+	}
+	resp, err := i.c.send(ctx, q)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return slices.Clone(last.list), nil
+	}
+	list, err := decodeInstances(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	if tag := resp.Header.Get("ETag"); tag != "" {
+		i.c.list.Store(&taggedList{tag: tag, list: slices.Clone(list)})
+	}
+	return list, nil
+}
+
+func decodeInstances(body io.Reader) ([]platform.Listed, error) {
 	var reply InstancesReply
-	if err := i.c.decode(ctx, call{method: http.MethodGet, path: PathInstances}, &reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(body, maxReply)).Decode(&reply); err != nil {
 		return nil, err
 	}
 	list := make([]platform.Listed, len(reply.Instances))
