Read fencing numbers from the table; drop settings that did nothing

Cause: no program gave the sidecar a source of fencing numbers, so that a restarted one beside an engine that ignores them could not tell an old order from a new one. Three settings were read and used by nobody. Change: the sidecar reads the head revision of the configuration, which is the fencing number of orders; platform.timeout, upstream.checks_fencing and the sidecar's peers are gone.

--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -79,7 +79,6 @@
 	s.Upstream.Blocks = engineBlocks
 	s.Upstream.LinkBlocksPerSecond = engine.DefaultLinkRate
 	s.Upstream.PrefillPerSecond = int64(engine.DefaultPrefillPerSecond)
-	s.Upstream.ChecksFencing = i%2 == 0
 	if role == upstream.RolePrefill {
 		s.Upstream.Slots = prefillSlots
 		s.Upstream.MaxQueuedTokens = maxQueuedFor * int64(engine.DefaultPrefillPerSecond)
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -14,6 +14,8 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/sidecar"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/api"
 	"github.com/trefoilwalk/trefoilwalk/link/peer/rpc"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/configstore"
+	"github.com/trefoilwalk/trefoilwalk/link/platform/rest"
 	"github.com/trefoilwalk/trefoilwalk/link/settings"
 	"github.com/trefoilwalk/trefoilwalk/link/upstream/engineapi"
 	"github.com/trefoilwalk/trefoilwalk/link/upstream/serviceapi"
@@ -72,6 +74,7 @@
 	}
 	if s.Upstream.Kind == settings.KindEngine {
 		options.Engine = engineapi.New(s.Upstream.URL, o.Network.Transport())
+		options.Fences = fences{newStore(s.Platform.URL, o)}
 		return options, nil
 	}
 	service, err := serviceapi.New(s.Upstream.URL, nil)
@@ -82,6 +85,24 @@
 	return options, nil
 }
 
+// fences gives the fencing numbers of orders, which are the revisions of the
+// configuration: the platform's table hands them out, and they only rise.
+type fences struct {
+	store *configstore.Store
+}
+
+// Fence implements sidecar.FenceSource.
+func (f fences) Fence(ctx context.Context, _ upstream.ID) (uint64, error) {
+	revision, err := f.store.Head(ctx)
+	return uint64(revision), err
+}
+
+// newStore opens the configuration in the platform's table.
+func newStore(url string, o Options) *configstore.Store {
+	client := rest.New(url, o.Network.Transport())
+	return configstore.New(client.Table(), client.Objects())
+}
+
 // limitsOf gives what the upstream can take.
 func limitsOf(s settings.Sidecar) engine.Limits {
 	u := s.Upstream
--- a/link/settings/common.go
+++ b/link/settings/common.go
@@ -31,17 +31,10 @@
 type Platform struct {
 	// URL is the base URL of the platform's services; required.
 	URL string `toml:"url"`
-	// Timeout bounds one call; default 2s.
-	Timeout Duration `toml:"timeout"`
-}
-
-func defaultPlatform() Platform {
-	return Platform{Timeout: of(2 * time.Second)}
 }
 
 func (p *Platform) check(c *checker) {
 	c.baseURL("platform.url", p.URL)
-	c.duration("platform.timeout", p.Timeout, 10*time.Millisecond, time.Minute)
 }
 
 // Drain bounds a graceful shutdown.
--- a/link/settings/entry.go
+++ b/link/settings/entry.go
@@ -116,7 +116,6 @@
 // DefaultEntry gives the settings of an entry that says nothing.
 func DefaultEntry() Entry {
 	return Entry{
-		Platform:  defaultPlatform(),
 		Workers:   defaultWorkers,
 		Limits:    defaultCallerLimits(),
 		Rates:     Rates{Policy: rate.DefaultPolicy},
--- a/link/settings/sidecar.go
+++ b/link/settings/sidecar.go
@@ -13,9 +13,6 @@
 	Peer     Listener `toml:"peer"`
 	Operator Listener `toml:"operator"`
 	Platform Platform `toml:"platform"`
-	// Peers are the peer listeners of some entries, to start from; default
-	// none.
-	Peers []string `toml:"peers"`
 	// Workers is the size of the worker pool; default 4.
 	Workers int `toml:"workers"`
 	// Upstream is the one beside which the sidecar runs.
@@ -55,9 +52,6 @@
 	// MaxQueuedTokens bounds the prompts accepted and not yet prefilled;
 	// default 200000.
 	MaxQueuedTokens int64 `toml:"max_queued_tokens"`
-	// ChecksFencing says that the engine refuses orders with an old fencing
-	// number by itself; default false.
-	ChecksFencing bool `toml:"checks_fencing"`
 }
 
 // Leases are times of what a sidecar grants.
@@ -72,8 +66,7 @@
 // DefaultSidecar gives the settings of a sidecar that says nothing.
 func DefaultSidecar() Sidecar {
 	return Sidecar{
-		Platform: defaultPlatform(),
-		Workers:  defaultWorkers,
+		Workers: defaultWorkers,
 		Upstream: Upstream{
 			Slots:               20,
 			Blocks:              400,
@@ -100,7 +93,6 @@
 	s.Peer.checkPeer(c, "peer")
 	s.Operator.check(c, "operator")
 	s.Platform.check(c)
-	c.addrs("peers", s.Peers)
 	between(c, "workers", s.Workers, 1, mostWorkers)
 	s.Upstream.check(c)
 	c.duration("leases.grant", s.Leases.Grant, 50*time.Millisecond, time.Minute)
