--- a/instance/entry/claim.go
+++ b/instance/entry/claim.go
@@ -9,7 +9,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
-	"github.com/trefoilwalk/trefoilwalk/link/platform"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 )
@@ -264,54 +263,6 @@
 	return run.machine.Granted(result.choice.Addr)
 }
 
-// claimWrite writes the claim of an attempt.
-func (e *Entry) claimWrite(id contract.RequestID, run *claimRun, a claim.Action) pool.Effect {
-	record := claim.Record{
-		State:   claim.StateClaimed,
-		Body:    run.body,
-		Call:    a.Call,
-		Witness: a.Witness,
-		At:      e.clock.Now(),
-	}
-	from := claim.StateAbsent
-	if a.Version != 0 {
-		from = claim.StateClaimed
-	}
-	return e.claimCall(id, func(ctx context.Context) func(run *claimRun) claim.Action {
-		result, err := e.claimStore.Write(ctx, run.key, a.Version, from, record)
-		if err != nil {
-			e.log.Warn("claim not written", "request", id, "attempt", a.Call.Attempt, "error", err)
-		}
-		return func(run *claimRun) claim.Action { return run.machine.Wrote(result) }
-	})
-}
-
-// claimRead reads the claim as it stands.
-func (e *Entry) claimRead(id contract.RequestID, key claim.Key) pool.Effect {
-	return e.claimCall(id, func(ctx context.Context) func(run *claimRun) claim.Action {
-		row, err := e.claimStore.Read(ctx, key)
-		if err != nil {
-			e.log.Warn("claim not read", "request", id, "error", err)
-			return func(run *claimRun) claim.Action { return run.machine.NotRead() }
-		}
-		return func(run *claimRun) claim.Action {
-			run.answer = row.Answer
-			run.dropped = row.Dropped
-			return run.machine.Read(row)
-		}
-	})
-}
-
-// claimCall is a call to the table whose outcome goes to the machine.
-func (e *Entry) claimCall(id contract.RequestID, call func(ctx context.Context) func(run *claimRun) claim.Action) pool.Effect {
-	perform := func(ctx context.Context) pool.Step {
-		ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-		defer cancel()
-		return e.claimStep(id, call(ctx))
-	}
-	return pool.Effect{Lane: laneClaims, Perform: perform, OnPanic: e.claimPanic(id)}
-}
-
 // claimPanic ends a request whose call panicked.
 func (e *Entry) claimPanic(id contract.RequestID) func(reason any) pool.Step {
 	return func(any) pool.Step {
--- a/internal/fleet/once_test.go
+++ b/internal/fleet/once_test.go
@@ -69,7 +69,9 @@
 		func() { f.Platform.Store.LoseRequests(20) },
 		func() { f.CutZone(f.Entries[1].Place.Zone, true) },
 		func() { f.CutZone(f.Entries[1].Place.Zone, false) },
+		func() { f.Entries[2].Pause(true) },
 		func() { f.Services[1].Service.Crash() },
+		func() { f.Entries[2].Pause(false) },
 		func() { f.Services[1].Service.Restart() },
 		func() { f.Platform.Store.SetSlow(300 * time.Millisecond) },
 		func() { f.Platform.Store.SetSlow(0) },
@@ -92,6 +94,7 @@
 // services and the store fail. Each call runs at most once, whatever its caller
 // was told, and "not run" is true.
 func TestOnceUnderFaults(t *testing.T) {
+	t.Parallel()
 	f := startWith(t, fleet.Wireworks, 5000)
 	client := load.NewClient(f.Transport())
 	calls := make([]*onceCall, onceCalls)
--- /dev/null
+++ b/internal/fleet/shutdown_test.go
@@ -0,0 +1,120 @@
+package fleet_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/internal/fleet"
+	"github.com/trefoilwalk/trefoilwalk/internal/load"
+)
+
+// TestShutdownCutsNoRequest shuts a sidecar down, then an entry, while calls that
+// may not be repeated run through both. All calls are answered, each ran once,
+// the balancer is told, and what comes after does not run.
+func TestShutdownCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	const calls = 20
+	f := startWith(t, fleet.Wireworks, 5000)
+	for _, s := range f.Services {
+		s.Service.SetSlow(400 * time.Millisecond)
+	}
+	client := load.NewClient(f.Transport())
+	var running, shutdowns sync.WaitGroup
+	var answers []*load.Answer
+	send := func(e *fleet.EntryNode, key string) *load.Answer {
+		a := new(load.Answer)
+		running.Go(func() {
+			*a = client.Call(t.Context(), http.MethodPost, e.URL+f.Workload.OncePath+"wire", f.Workload.Accounts[0].Key, key, "coil "+key)
+		})
+		return a
+	}
+	round := func(name string, shutdown func(context.Context) error) {
+		for i := range calls {
+			answers = append(answers, send(f.Entries[i%2], fmt.Sprintf("%s-%d", name, i)))
+		}
+		time.Sleep(150 * time.Millisecond)
+		shutdowns.Go(func() {
+			if err := shutdown(t.Context()); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	round("sidecar", f.Services[0].Shutdown)
+	round("entry", f.Entries[0].Shutdown)
+	resp, err := http.Get(f.Entries[0].URL + "/-/ready")
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("while draining the balancer got %v, %v", resp, err)
+	}
+	running.Wait()
+	shutdowns.Wait()
+	for i, a := range answers {
+		if !a.Whole {
+			t.Errorf("call %d: %+v %+v", i, a.Refusal, a.Err)
+		}
+	}
+	late := send(f.Entries[0], "late")
+	running.Wait()
+	if late.Whole || runs(f, "coil late") != 0 {
+		t.Errorf("a call after the shutdown got %+v", *late)
+	}
+	for _, s := range f.Services {
+		for body := range s.Service.Bodies() {
+			if n := runs(f, body); n != 1 {
+				t.Errorf("%q ran %d times", body, n)
+			}
+		}
+	}
+}
+
+// TestKeysStopAtTheEntry sends a key in every place where callers put one and
+// searches all that upstreams received.
+func TestKeysStopAtTheEntry(t *testing.T) {
+	t.Parallel()
+	f := startWith(t, fleet.Wireworks, 5000)
+	f.WatchKeys()
+	key := f.Workload.Accounts[0].Key
+	cases := []struct {
+		name, query, body string
+		header            map[string]string
+		status            int
+	}{
+		{"header", "", "", nil, 200},
+		{"query forms", "?key=KEY&api_key=KEY&Access-Token=KEY&x=1", "", nil, 200},
+		{"other headers", "", "", map[string]string{"X-Api-Key": "KEY", "Cookie": "session=KEY", "Proxy-Authorization": "Bearer KEY"}, 200},
+		{"other parameter", "?note=KEY", "", nil, 400},
+		{"escaped parameter", "?note=ESCAPED", "", nil, 400},
+		{"body", "", "key=KEY", nil, 400},
+		{"content type", "", "", map[string]string{"Content-Type": "text/KEY"}, 400},
+		{"path", "/KEY", "", nil, 400},
+	}
+	fill := strings.NewReplacer("KEY", key, "ESCAPED", fmt.Sprintf("%%%x%s", key[0], key[1:])).Replace
+	for i, c := range cases {
+		url := f.Entries[0].URL + f.Workload.OncePath + "wire" + fill(c.query)
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, strings.NewReader(fill(c.body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+key)
+		req.Header.Set("Idempotency-Key", fmt.Sprint("key-", i))
+		for name, value := range c.header {
+			req.Header.Set(name, fill(value))
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != c.status {
+			t.Errorf("%s: status %d, want %d", c.name, resp.StatusCode, c.status)
+		}
+	}
+	if n := f.KeysSeen(); n != 0 {
+		t.Errorf("%d requests at upstreams held the key", n)
+	}
+}
--- a/internal/fleet/upstreams.go
+++ b/internal/fleet/upstreams.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
@@ -163,6 +164,11 @@
 	}
 }
 
+// Shutdown ends the sidecar beside the service gracefully.
+func (n *ServiceNode) Shutdown(ctx context.Context) error {
+	return n.sidecar.Shutdown(ctx)
+}
+
 func (n *ServiceNode) close() {
 	n.Service.Crash()
 	if n.sidecar != nil {
