--- a/instance/sidecar/output.go
+++ b/instance/sidecar/output.go
@@ -105,11 +105,21 @@
 			st.acknowledge(ack.Next)
 		}
 		box.dropReleased(current)
+		box.calm()
 		chunks = box.waiting()
 	})
 	return chunks, wake
 }
 
+// calm takes back a wake-up whose output is taken now: it would end the next
+// poll with nothing.
+func (b *outbox) calm() {
+	select {
+	case <-b.wake:
+	default:
+	}
+}
+
 // waiting gives all output of the entry's calls, also of those that the poll
 // does not name because they were started while it was on its way.
 func (b *outbox) waiting() (chunks []contract.Chunk) {
