Let only who sees most grantors propose a layout, and be ready with shares only

Cause: TestCutZone failed now and then because a request waited for its account's tokens until its caller left (refused with ran=no at attempt 0, after 20 s; no call of any lane was made for it). An entry that has just started does not know the others before the platform's list shows them, and then proposed a layout of itself alone, over the layout of an entry that it had not heard of: logs of starts show epoch 1 with one member followed by epoch 2 with one other member. For a moment the entry that was put out still held by its old promises while the new members held by theirs, so that all were ready at once with a layout of two. With the zone of one of them, or of the grantor before, cut off then, the others had no majority, or never heard that the epoch before was over, and nobody there had tokens for DefaultLostFor, one minute.

Change: an entry proposes the next epoch only while it sees more than half of the grantors of this one, or after it looked for them for 5 s. It is ready only if it holds shares: as a member whose earlier epochs are over, or who was in the one before. The wait for lost grantors to leave is counted as before, from the layout that follows theirs, so the bound of the accounts is not touched; a fleet that loses most of its grantors at once stops 5 s longer by these constants (not measured).

Ruled out, by the failing log line (attempt 0, not run) and reading: the lanes of reserve, prefill, decode and poll, the board, and their timeouts, since the request had not come to its first attempt. That it waited for tokens and not in its route's queue follows from reading too: a queue is looked at every 25 ms and no reserve was on its way. Which two members the failing layout had was not logged; both cases are covered.

--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -134,7 +134,14 @@
 		e.started = now
 	}
 	guest := e.tenure.layout.Epoch > 0 && len(e.alive) > 0 && now.Sub(e.started) > joinFor
-	return e.holds(now) || (guest && !contains(e.tenure.layout.Members, e.self))
+	return e.holds(now) && e.hasShare() || (guest && !contains(e.tenure.layout.Members, e.self))
+}
+
+// hasShare reports whether this entry has shares: while the epochs before are
+// not over, only those who were in the last of them do.
+func (e *Escrow) hasShare() bool {
+	layout := e.tenure.layout
+	return contains(layout.Members, e.self) && (e.tenure.closed || contains(layout.Before, e.self))
 }
 
 // Propose implements Planner.
@@ -144,7 +151,7 @@
 		e.want, e.differs = members, now
 	}
 	layout := e.tenure.layout
-	if e.leaving || !e.tenure.closed || len(members) == 0 || sameMembers(members, layout.Members) {
+	if e.leaving || !e.tenure.closed || !e.tenure.mayMoveOn(now) || len(members) == 0 || sameMembers(members, layout.Members) {
 		return nil, false
 	}
 	wait := time.Duration(0)
--- a/contract/rate/promise.go
+++ b/contract/rate/promise.go
@@ -22,6 +22,10 @@
 	// believed alive before it counts as having left its epoch. It lets a fleet
 	// go on that lost most of its grantors at once.
 	DefaultLostFor = time.Minute
+	// strangersFor is how long an entry that sees too few grantors waits before
+	// it proposes a layout without them; longer than an entry that just started
+	// takes to find the others in the platform's list, which lags.
+	strangersFor = 5 * time.Second
 )
 
 // renewals is how many renewals to one grantor may be on their way.
@@ -61,6 +65,8 @@
 	moves   map[instance.Name]left
 	// missing is since when a grantor is not among the members.
 	missing map[instance.Name]time.Time
+	// unseen is since when a grantor of this epoch is not among the members.
+	unseen map[instance.Name]time.Time
 }
 
 func newTenure(self instance.Identity, lostFor, lease time.Duration) *tenure {
@@ -73,6 +79,7 @@
 		pledges: make(map[instance.Name]*pledge),
 		moves:   make(map[instance.Name]left),
 		missing: make(map[instance.Name]time.Time),
+		unseen:  make(map[instance.Name]time.Time),
 		heardAt: make(map[instance.Name]time.Time),
 	}
 }
@@ -185,6 +192,29 @@
 			t.missing[g.Name] = now
 		}
 	}
+	before := t.unseen
+	t.unseen = make(map[instance.Name]time.Time)
+	for _, g := range t.layout.Grantors {
+		since, noted := before[g.Name]
+		switch {
+		case present[g.Name] || g.Name == t.self.Name:
+		case noted:
+			t.unseen[g.Name] = since
+		default:
+			t.unseen[g.Name] = now
+		}
+	}
+}
+
+// mayMoveOn reports whether this entry may propose the next epoch: it sees more
+// than half of the grantors of this one, or has looked for them for strangersFor.
+// Without that an entry that just started, and has not heard of the others yet,
+// would put itself in the place of all of them.
+func (t *tenure) mayMoveOn(now time.Time) bool {
+	return t.layout.Epoch == 0 || majority(t.layout.Grantors, func(g instance.Identity) bool {
+		since, unseen := t.unseen[g.Name]
+		return !unseen || now.Sub(since) >= strangersFor
+	})
 }
 
 // due gives the entries to renew with: the grantors, and until the epochs
