End the wait for a prefill also if its sidecar was found silent before it began

Cause: found by reading: a sidecar that was silent for three polls ended the waits for its answers, but not of a prefill whose wait had not been noted yet; that one then lasted until the request's deadline. Change: the request remembers the silent address, and a wait for it ends at once. Measured: new test of a prefill sidecar that takes calls and never answers: without the ended wait the request fails at its deadline, with it the answer is whole within three polls and a second of fake time.

--- a/instance/entry/call.go
+++ b/instance/entry/call.go
@@ -50,6 +50,7 @@
 	choice := choices[0]
 	e.updateCall(h, q.Call, func(r *request) {
 		r.calling = &choice
+		r.silent = ""
 		r.sent = now
 	})
 	q.Header = e.header(h)
@@ -65,7 +66,7 @@
 		if !q.Once {
 			// A call that may not be repeated waits for its outcome as long
 			// as it may.
-			e.waits(q.Call, cancel)
+			e.waits(q.Call, choice.Addr, cancel)
 		}
 		reply, err := e.peers.Sidecar(choice.Addr).Call(ctx, &q)
 		return func(h *table.Held) []pool.Effect {
--- a/instance/entry/path_test.go
+++ b/instance/entry/path_test.go
@@ -124,10 +124,16 @@
 	sidecars  map[string]*sidecar.Sidecar
 	cut       bool
 	losePolls int
+	// silent is the address of a sidecar that takes calls and never answers.
+	silent string
 }
 
-func (n *network) Sidecar(addr string) peer.Sidecar { return &wire{Sidecar: n.sidecars[addr], net: n} }
-func (n *network) Entry(string) peer.Entry          { return nil }
+func (n *network) Sidecar(addr string) peer.Sidecar {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &wire{Sidecar: n.sidecars[addr], net: n, silent: addr == n.silent}
+}
+func (n *network) Entry(string) peer.Entry { return nil }
 
 func (n *network) setCut(cut bool) {
 	n.mu.Lock()
@@ -154,10 +160,23 @@
 // wire is a sidecar behind the network.
 type wire struct {
 	*sidecar.Sidecar
-	net *network
+	net    *network
+	silent bool
+}
+
+func (w *wire) Prefill(ctx context.Context, q *peer.PrefillRequest) (*peer.PrefillReply, error) {
+	if w.silent {
+		<-ctx.Done()
+		return nil, peer.ErrNoAnswer
+	}
+	return w.Sidecar.Prefill(ctx, q)
 }
 
 func (w *wire) Poll(ctx context.Context, q *peer.PollRequest) (*peer.PollReply, error) {
+	if w.silent {
+		<-ctx.Done()
+		return nil, peer.ErrNoAnswer
+	}
 	cut, lost := w.net.loses(true)
 	if cut {
 		return nil, peer.ErrNotSent
@@ -223,6 +242,7 @@
 	f.source.now.Keys[hash] = contract.Key{Hash: hash, Account: "a"}
 	f.source.now.Routes["r"] = contract.Route{Name: "r", Kind: contract.RouteModel, Model: testModel, Repeatable: true, Patient: true, Timeout: time.Minute}
 	f.add(t, "prefill-1", upstream.RolePrefill)
+	f.add(t, "prefill-2", upstream.RolePrefill)
 	f.decodes = []*fakeEngine{f.add(t, "decode-1", upstream.RoleDecode), f.add(t, "decode-2", upstream.RoleDecode)}
 	board, err := placement.NewBoard(placement.Options{Self: here})
 	if err != nil {
@@ -369,6 +389,30 @@
 	}
 }
 
+// TestSilentPrefillSidecar checks that a request whose prefill was sent to a sidecar
+// that is cut off goes elsewhere when three polls got no answer, long before its
+// deadline.
+func TestSilentPrefillSidecar(t *testing.T) {
+	const longest = 3*(entry.PollTimeout+entry.PollRetry) + time.Second
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.net.mu.Lock()
+		f.net.silent = "prefill-1:1"
+		f.net.mu.Unlock()
+		begun := time.Now()
+		sink := &collector{}
+		in := contract.Incoming{Key: testKey, Generate: &contract.Generate{
+			Model: testModel, Prompt: "12345678", PromptTokens: 2, MaxTokens: 5, Seed: 3}}
+		refusal := f.entry.Serve(context.Background(), in, sink)
+		if refusal != nil || sink.text.String() != whole(3, 5) {
+			t.Fatalf("%v, answer %q", refusal, sink.text.String())
+		}
+		if took := time.Since(begun); took > longest {
+			t.Errorf("took %v, want %v at most", took, longest)
+		}
+	})
+}
+
 // TestRefusalsBeforeTheEngine checks that what is refused at the entry says that
 // it did not run.
 func TestRefusalsBeforeTheEngine(t *testing.T) {
--- a/instance/entry/poll.go
+++ b/instance/entry/poll.go
@@ -180,9 +180,15 @@
 	e.board.With(h, func(b **placement.Board) { (*b).FailedAt(now, addr) })
 }
 
-// waits notes how to end the wait for the answer to what an attempt has sent.
-func (e *Entry) waits(call contract.CallID, stop context.CancelFunc) {
-	e.updateCall(table.NewHeld(), call, func(r *request) { r.stop = stop })
+// waits notes how to end the wait for the answer to what an attempt has sent to a
+// sidecar. If the sidecar was found silent meanwhile, the wait ends at once.
+func (e *Entry) waits(call contract.CallID, addr string, stop context.CancelFunc) {
+	e.updateCall(table.NewHeld(), call, func(r *request) {
+		r.stop = stop
+		if r.silent == addr {
+			stop()
+		}
+	})
 }
 
 // stopWaiting ends the wait for an answer from a sidecar that stays silent, which
@@ -191,7 +197,11 @@
 	e.updateCall(h, call, func(r *request) {
 		prefills := r.prefill != nil && r.prefill.Addr == addr
 		calls := r.calling != nil && r.calling.Addr == addr
-		if r.stop != nil && (prefills || calls) {
+		if !prefills && !calls {
+			return
+		}
+		r.silent = addr
+		if r.stop != nil {
 			r.stop()
 			r.stop = nil
 		}
--- a/instance/entry/prefill.go
+++ b/instance/entry/prefill.go
@@ -70,6 +70,7 @@
 	run.q.StartIn = placement.StartIn(run.window, choice.Estimate)
 	found := e.updateCall(h, run.call, func(r *request) {
 		r.prefill = &choice
+		r.silent = ""
 		r.sent = e.clock.Now().Add(run.q.StartIn)
 	})
 	if !found {
@@ -84,7 +85,7 @@
 	perform := func(ctx context.Context) pool.Step {
 		ctx, cancel := context.WithTimeout(ctx, run.q.Within)
 		defer cancel()
-		e.waits(run.call, cancel)
+		e.waits(run.call, choice.Addr, cancel)
 		reply, err := e.peers.Sidecar(choice.Addr).Prefill(ctx, &run.q)
 		return func(h *table.Held) []pool.Effect {
 			if err != nil {
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -71,8 +71,10 @@
 	usage         contract.Usage
 
 	// stop ends the wait for an answer to the current attempt; nil if none is
-	// awaited.
-	stop context.CancelFunc
+	// awaited. silent is the address of a sidecar that was found silent before
+	// the wait for it began.
+	stop   context.CancelFunc
+	silent string
 
 	// pending, answer and ended are what the goroutine of the caller's
 	// connection takes; wake tells it that there is something.
