Wake an idle entry less often

Each timer costs a wake-up of several threads; the queues were looked at 40 times a second also without requests. Change: the queues are looked at only while there are requests; the spread and the rates every 50 ms.

--- a/instance/entry/entry.go
+++ b/instance/entry/entry.go
@@ -129,6 +129,8 @@
 	duties atomic.Int64
 
 	sequence atomic.Uint64
+	// ticking says that the queues are looked at.
+	ticking atomic.Bool
 	// running counts the rows of requests.
 	running  atomic.Int64
 	newQueue func() fair.Queue
--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -114,6 +114,7 @@
 func (e *Entry) insert(h *table.Held, r *request) {
 	e.running.Add(1)
 	e.requests.With(h, r.ID, func(rows map[contract.RequestID]*request) { rows[r.ID] = r })
+	e.startTicking()
 }
 
 // update calls f with a request that has not ended, while its lock is held, and
--- a/instance/entry/timers.go
+++ b/instance/entry/timers.go
@@ -15,8 +15,12 @@
 
 // Times of an entry's recurring work.
 const (
-	// TickEvery is the time between two looks at the queues and the rates.
+	// TickEvery is the time between two looks at the queues and the rates while
+	// there are requests.
 	TickEvery = 25 * time.Millisecond
+	// IdleTickEvery is the time between two looks at the rates and at the spread
+	// of the configuration, also without requests.
+	IdleTickEvery = rate.TickEvery
 	// RefreshEvery is the time between two reads of the lagging list and of the
 	// load of watched upstreams.
 	RefreshEvery = time.Second
@@ -24,7 +28,7 @@
 
 // startTimers starts the recurring work.
 func (e *Entry) startTimers() {
-	e.pool.Resume(e.tick)
+	e.pool.Resume(e.idleTick)
 	if e.claimStore != nil {
 		e.pool.After(e.claimSweep.Every, e.sweepClaims)
 	}
@@ -36,11 +40,33 @@
 	}
 }
 
-// tick looks at what time changes.
+// idleTick looks at what time changes without requests.
+func (e *Entry) idleTick(h *table.Held) []pool.Effect {
+	e.pool.After(IdleTickEvery, e.idleTick)
+	return append(e.spreadDue(h), e.tickRates(h)...)
+}
+
+// startTicking looks at the queues from now on, until there are no requests: an
+// idle entry is not woken for them.
+func (e *Entry) startTicking() {
+	if e.ticking.CompareAndSwap(false, true) {
+		e.pool.After(TickEvery, e.tick)
+	}
+}
+
+// tick looks at what time changes for requests.
 func (e *Entry) tick(h *table.Held) []pool.Effect {
-	e.pool.After(TickEvery, e.tick)
-	effects := append(e.sweepQueues(h), e.spreadDue(h)...)
-	return append(effects, e.tickRates(h)...)
+	effects := append(e.sweepQueues(h), e.tickRates(h)...)
+	if e.running.Load() > 0 {
+		e.pool.After(TickEvery, e.tick)
+		return effects
+	}
+	e.ticking.Store(false)
+	if e.running.Load() > 0 {
+		// One came in between and found the ticking going on.
+		e.startTicking()
+	}
+	return effects
 }
 
 // tickRates lets the rates level between entries and decides who waited.
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -26,7 +26,7 @@
 // requestCost measures the processor time of entry and sidecars together for
 // requests of several lengths, with all slots of the decode engine in use.
 func requestCost() ([]Slope, error) {
-	r, err := newRig()
+	r, err := newRig(2)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +73,7 @@
 func waitingCost() ([]Slope, error) {
 	var points []Point
 	for _, count := range []int{250, 500, 1000, 2000} {
-		r, err := newRig()
+		r, err := newRig(2)
 		if err != nil {
 			return nil, err
 		}
@@ -95,7 +95,7 @@
 // pollCost measures an idle poll, which is also the renewal of grants, with
 // several numbers of calls named.
 func pollCost() ([]Slope, error) {
-	r, err := newRig()
+	r, err := newRig(2)
 	if err != nil {
 		return nil, err
 	}
@@ -123,24 +123,28 @@
 	}, nil
 }
 
-// idleCost measures an entry with nothing to do but its recurring work.
+// idleFor is how long an idle fleet is measured.
+const idleFor = 3 * time.Second
+
+// idleCost measures an entry with nothing to do but its recurring work, before
+// several numbers of idle sidecars that it watches.
 func idleCost() ([]Slope, error) {
-	r, err := newRig()
-	if err != nil {
-		return nil, err
-	}
-	defer r.close()
-	// The first seconds also open connections and look for peers.
-	time.Sleep(3 * time.Second)
 	var times, sizes []Point
-	for _, seconds := range []int{1, 2, 3, 4} {
+	for _, sidecars := range []int{2, 6, 10, 18} {
+		r, err := newRig(sidecars)
+		if err != nil {
+			return nil, err
+		}
+		// The first seconds also open connections and look for peers.
+		time.Sleep(idleFor)
 		before, sent := cpu(), r.bytes.Load()
-		time.Sleep(time.Duration(seconds) * time.Second)
-		times = append(times, Point{float64(seconds), micros(cpu() - before)})
-		sizes = append(sizes, Point{float64(seconds), float64(r.bytes.Load() - sent)})
+		time.Sleep(idleFor)
+		times = append(times, Point{float64(sidecars), micros(cpu()-before) / idleFor.Seconds()})
+		sizes = append(sizes, Point{float64(sidecars), float64(r.bytes.Load()-sent) / idleFor.Seconds()})
+		r.close()
 	}
 	return []Slope{
-		fit("idle entry and 2 sidecars, processor time", "second", "µs", times),
-		fit("idle entry and 2 sidecars, bytes", "second", "B", sizes),
+		fit("idle entry, processor time a second", "idle sidecar", "µs", times),
+		fit("idle entry, bytes a second", "idle sidecar", "B", sizes),
 	}, nil
 }
--- a/internal/capacity/rig.go
+++ b/internal/capacity/rig.go
@@ -102,11 +102,13 @@
 	return config.Loaded{Snapshot: f.snapshot}, nil
 }
 
-func newRig() (*rig, error) {
+// newRig starts an entry before a number of sidecars, half of each role.
+func newRig(sidecars int) (*rig, error) {
 	r := &rig{bytes: new(atomic.Int64)}
 	snapshot := rigSnapshot()
-	for _, role := range []upstream.Role{upstream.RolePrefill, upstream.RoleDecode} {
-		u, err := r.addSidecar(role)
+	roles := []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}
+	for i := range sidecars {
+		u, err := r.addSidecar(roles[i%len(roles)], i)
 		if err != nil {
 			r.close()
 			return nil, err
@@ -150,8 +152,8 @@
 }
 
 // addSidecar starts a sidecar beside an engine that costs nothing.
-func (r *rig) addSidecar(role upstream.Role) (upstream.Upstream, error) {
-	u := upstream.Upstream{ID: upstream.ID(role.String()), Place: rigPlace, Role: role, State: upstream.StateServing, Models: []contract.ModelName{rigModel}}
+func (r *rig) addSidecar(role upstream.Role, i int) (upstream.Upstream, error) {
+	u := upstream.Upstream{ID: upstream.ID(fmt.Sprintf("%s-%d", role, i)), Place: rigPlace, Role: role, State: upstream.StateServing, Models: []contract.ModelName{rigModel}}
 	s := sidecar.New(sidecar.Options{
 		Self:     instance.Identity{Name: instance.Name(u.ID), Incarnation: 1, Place: rigPlace},
 		Upstream: u.ID,
