Blame no request for an engine that is silent

Change: only a new epoch, or an upstream that nobody listens for any more, is a crash. A silent one gets no work and its calls go elsewhere, without blame. A host that vanishes without refusing connections is no longer held against the requests that ran there.

--- a/instance/sidecar/crash.go
+++ b/instance/sidecar/crash.go
@@ -24,14 +24,28 @@
 	silent int
 }
 
-// saw takes in a look at the upstream and reports whether it shows a crash.
-func (x *suspects) saw(seen sight) (crashed bool) {
+// saw takes in a look at the upstream. crashed says that it shows a crash; hung
+// that the upstream has been silent for long, which is nobody's fault: it may be
+// frozen, or the machine busy.
+func (x *suspects) saw(seen sight) (crashed, hung bool) {
 	if seen.up {
 		x.silent = 0
-		return x.witness.Up(seen.epoch)
+		return x.witness.Up(seen.epoch), false
 	}
 	x.silent++
-	return x.silent >= maxSilent && x.witness.Silent()
+	switch {
+	case x.silent < maxSilent:
+		return false, false
+	case seen.gone:
+		return x.witness.Silent(), false
+	default:
+		return false, x.silent == maxSilent
+	}
+}
+
+// down reports whether the upstream gets no work.
+func (x *suspects) down() bool {
+	return x.witness.Down() || x.silent >= maxSilent
 }
 
 // heard takes in what a message's header tells.
@@ -110,31 +124,32 @@
 	}
 	seen := s.look(ctx)
 	if !seen.up {
-		s.silentAfterBreak(h)
+		s.silentAfterBreak(h, seen.gone)
 		return false
 	}
 	return !s.saw(h, seen)
 }
 
 // silentAfterBreak counts an upstream that broke off a call and does not answer
-// as down at once.
-func (s *Sidecar) silentAfterBreak(h *table.Held) {
+// as down at once. Only one that nobody listens for any more has crashed.
+func (s *Sidecar) silentAfterBreak(h *table.Held, gone bool) {
 	crashed := false
 	s.suspects.With(h, func(x *suspects) {
 		x.silent = maxSilent
-		crashed = x.witness.Silent()
+		crashed = gone && x.witness.Silent()
 	})
 	s.ledger.With(h, func(l **engine.Ledger) { (*l).SetDown(true) })
 	if crashed {
 		s.crashed(h)
+		return
 	}
+	s.endWaiting(h, s.sent(h))
 }
 
 // crashed holds the crash against all that ran, and ends what still waits for
 // the engine's answer.
 func (s *Sidecar) crashed(h *table.Held) {
-	var sent []engine.Ask
-	s.ledger.With(h, func(l **engine.Ledger) { sent = (*l).Sent() })
+	sent := s.sent(h)
 	now := s.clock.Now()
 	var found []contract.Fingerprint
 	present := 0
@@ -144,6 +159,18 @@
 		found = x.table.Crashed(now, s.id, all)
 	})
 	s.log.Error("upstream crashed", "upstream", s.id, "requests", present, "quarantined", len(found))
+	s.endWaiting(h, sent)
+}
+
+// sent gives the calls that the upstream has.
+func (s *Sidecar) sent(h *table.Held) (sent []engine.Ask) {
+	s.ledger.With(h, func(l **engine.Ledger) { sent = (*l).Sent() })
+	return sent
+}
+
+// endWaiting ends the calls that wait for an engine's answer, so that they go
+// elsewhere. Calls of a service wait on: they may not be repeated.
+func (s *Sidecar) endWaiting(h *table.Held, sent []engine.Ask) {
 	if s.engine == nil {
 		return
 	}
--- a/instance/sidecar/faults_test.go
+++ b/instance/sidecar/faults_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -21,9 +22,11 @@
 // fencing numbers.
 type fakeEngine struct {
 	link.Engine
-	mu      sync.Mutex
-	state   link.EngineState
-	silent  bool
+	mu     sync.Mutex
+	state  link.EngineState
+	silent bool
+	// frozen engines take questions and answer none.
+	frozen  bool
 	stalled bool
 	crash   chan struct{}
 	held    map[contract.CallID]bool
@@ -67,8 +70,13 @@
 	return nil
 }
 
-func (f *fakeEngine) State(context.Context) (link.EngineState, error) {
+func (f *fakeEngine) State(ctx context.Context) (link.EngineState, error) {
 	f.mu.Lock()
+	if f.frozen {
+		f.mu.Unlock()
+		<-ctx.Done()
+		return link.EngineState{}, ctx.Err()
+	}
 	defer f.mu.Unlock()
 	if f.silent {
 		return link.EngineState{}, link.ErrNotSent
@@ -188,6 +196,19 @@
 	}
 }
 
+// freeze lets the engine answer nothing for three seconds while the entry polls for
+// a call, and gives that call's failure.
+func (b *bench) freeze(name contract.RequestID) (code contract.Code) {
+	b.engine.set(func() { b.engine.frozen = true })
+	for range 6 {
+		time.Sleep(500 * time.Millisecond)
+		code = cmp.Or(code, b.poll(name))
+	}
+	b.engine.set(func() { b.engine.frozen = false })
+	time.Sleep(time.Second)
+	return code
+}
+
 func (b *bench) order(fence uint64, lease time.Duration) contract.Code {
 	o := link.Order{Kind: link.OrderChangeRole, Fence: fence, Role: upstream.RoleDecode}
 	reply, err := b.s.Order(b.t.Context(), &peer.OrderRequest{Header: peer.Header{From: entryID}, Order: o, LeaseLeft: lease})
@@ -271,6 +292,22 @@
 			time.Sleep(time.Second)
 			return b.reserve("r1", 1)
 		}, ok},
+		{"a frozen engine gets no work", func(b *bench) any {
+			b.engine.set(func() { b.engine.frozen = true })
+			time.Sleep(3 * time.Second)
+			return b.reserve("r1", 1)
+		}, contract.CodeOverCapacity},
+		{"its calls go elsewhere", func(b *bench) any {
+			b.decode("r1", 1)
+			return b.freeze("r1")
+		}, contract.CodeCanceled},
+		{"and nobody is blamed, however often", func(b *bench) any {
+			for _, name := range []contract.RequestID{"r1", "r2", "r3"} {
+				b.decode(name, 1)
+				b.freeze(name)
+			}
+			return b.reserve("r4", 1)
+		}, ok},
 		{"a stalled transfer fails while its cache exists", func(b *bench) any {
 			b.engine.set(func() { b.engine.stalled = true })
 			b.decode("r1", 1)
--- a/instance/sidecar/watch.go
+++ b/instance/sidecar/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -28,6 +29,8 @@
 type sight struct {
 	up    bool
 	epoch int64
+	// gone says that nobody listens for the upstream any more.
+	gone bool
 	// load is set for engines.
 	load *link.EngineLoad
 	// events are those of a prefill engine's cache since the last look.
@@ -52,12 +55,12 @@
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout)
 	defer cancel()
 	if s.engine == nil {
-		return sight{up: s.service == nil || s.service.Healthy(ctx) == nil}
+		return s.lookAtService(ctx)
 	}
 	// The load report lags, so the epoch is taken from the state.
 	state, err := s.engine.State(ctx)
 	if err != nil {
-		return sight{}
+		return sight{gone: refused(ctx, err)}
 	}
 	seen := sight{up: true, epoch: state.Epoch}
 	if load, err := s.engine.Load(ctx); err == nil {
@@ -69,6 +72,21 @@
 	return seen
 }
 
+// lookAtService asks a plain service whether it is there.
+func (s *Sidecar) lookAtService(ctx context.Context) sight {
+	if s.service == nil {
+		return sight{up: true}
+	}
+	err := s.service.Healthy(ctx)
+	return sight{up: err == nil, gone: refused(ctx, err)}
+}
+
+// refused reports whether a look found nobody that listens, as against one that
+// took too long.
+func refused(ctx context.Context, err error) bool {
+	return errors.Is(err, link.ErrNotSent) && ctx.Err() == nil
+}
+
 // cacheEvents reads the cache events after those that were read before.
 func (s *Sidecar) cacheEvents(ctx context.Context) []upstream.CacheNews {
 	events, err := s.engine.Events(ctx, s.cacheSeq.Load())
@@ -85,10 +103,10 @@
 
 // saw takes in what a look showed and reports whether it shows a crash.
 func (s *Sidecar) saw(h *table.Held, seen sight) (crashed bool) {
-	down := false
+	hung, down := false, false
 	s.suspects.With(h, func(x *suspects) {
-		crashed = x.saw(seen)
-		down = x.witness.Down()
+		crashed, hung = x.saw(seen)
+		down = x.down()
 	})
 	s.ledger.With(h, func(l **engine.Ledger) {
 		(*l).SetDown(down)
@@ -97,6 +115,10 @@
 		}
 		(*l).CacheEvents(seen.events)
 	})
+	if hung {
+		s.log.Warn("upstream is silent", "upstream", s.id)
+		s.endWaiting(h, s.sent(h))
+	}
 	if crashed {
 		s.crashed(h)
 	}
