--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -83,7 +83,7 @@
 		for range count {
 			wg.Go(func() { r.entry.Serve(ctx, incoming("none", 10), drop{}) })
 		}
-		time.Sleep(time.Second)
+		<-time.After(time.Second)
 		points = append(points, Point{float64(count), memory() - before})
 		cancel()
 		wg.Wait()
@@ -136,9 +136,9 @@
 			return nil, err
 		}
 		// The first seconds also open connections and look for peers.
-		time.Sleep(idleFor)
+		<-time.After(idleFor)
 		before, sent := cpu(), r.bytes.Load()
-		time.Sleep(idleFor)
+		<-time.After(idleFor)
 		times = append(times, Point{float64(sidecars), micros(cpu()-before) / idleFor.Seconds()})
 		sizes = append(sizes, Point{float64(sidecars), float64(r.bytes.Load()-sent) / idleFor.Seconds()})
 		r.close()
--- a/internal/process/main.go
+++ b/internal/process/main.go
@@ -10,6 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
 )
 
 // Program is what the main functions of the long-running programs share: their
@@ -28,6 +30,36 @@
 	Shutdown(ctx context.Context) error
 }
 
+// EntryProgram is trefoil-entry.
+func EntryProgram() Program {
+	return Program{
+		Name:  "trefoil-entry",
+		Help:  "Routes callers' requests to model engines and plain services.",
+		Check: checked(settings.LoadEntry, StartEntry),
+	}
+}
+
+// SidecarProgram is trefoil-sidecar.
+func SidecarProgram() Program {
+	return Program{
+		Name:  "trefoil-sidecar",
+		Help:  "Grants and runs work at the upstream beside it.",
+		Check: checked(settings.LoadSidecar, StartSidecar),
+	}
+}
+
+// checked makes a Program's Check from what loads settings and what starts a
+// process with them.
+func checked[S any, P Running](load func(path string) (S, error), start func(S, Options) (P, error)) func(string) (func(hclog.Logger) (Running, error), error) {
+	return func(path string) (func(hclog.Logger) (Running, error), error) {
+		s, err := load(path)
+		if err != nil {
+			return nil, err
+		}
+		return func(log hclog.Logger) (Running, error) { return start(s, Options{Log: log}) }, nil
+	}
+}
+
 // Exit codes of the programs.
 const (
 	exitOK       = 0
