Say what became of a request at the moment it is cut

What the refusal of a cut request says was taken under one lock and the request ended under another: a step in between may have sent it. Also seen: callers got 'canceled' for calls that a sidecar had ended because its engine was silent. Change: the refusal is made while the request ends; a call ended at a silent engine says upstream_failed.

--- a/instance/entry/request.go
+++ b/instance/entry/request.go
@@ -148,14 +148,30 @@
 // back what it held and did not use, and returns the calls that free its work at
 // upstreams. Only the first call for a request does anything.
 func (e *Entry) finish(h *table.Held, id contract.RequestID, refusal *contract.Refusal) []pool.Effect {
+	return e.end(h, id, func(*request) *contract.Refusal { return refusal })
+}
+
+// cut ends a request from outside, whatever it is doing. What the refusal says of
+// it is taken at the moment at which it ends: a step may have sent it meanwhile.
+func (e *Entry) cut(h *table.Held, id contract.RequestID, refusal *contract.Refusal) []pool.Effect {
+	return e.end(h, id, func(r *request) *contract.Refusal {
+		said := *refusal
+		said.Ran = r.ranWhenCut()
+		return &said
+	})
+}
+
+// end is finish with a refusal that is made while the request's lock is held.
+func (e *Entry) end(h *table.Held, id contract.RequestID, why func(r *request) *contract.Refusal) []pool.Effect {
 	var ended Ended
+	var refusal *contract.Refusal
 	var release []heldWork
 	var used, charged contract.Tokens
 	var fp contract.Fingerprint
 	freed := false
 	now := e.clock.Now()
 	found := e.update(h, id, func(r *request) {
-		refusal = r.truthful(refusal)
+		refusal = r.truthful(why(r))
 		release = r.heldWork()
 		r.state = stateEnded
 		r.refusal = refusal
@@ -183,6 +199,14 @@
 	return effects
 }
 
+// ranWhenCut says what is known of a request that is ended from outside.
+func (r *request) ranWhenCut() contract.Ran {
+	if r.state < stateReserving {
+		return contract.RanNo
+	}
+	return contract.RanUnknown
+}
+
 // truthful makes a refusal say that the request ran if an earlier attempt did.
 func (r *request) truthful(refusal *contract.Refusal) *contract.Refusal {
 	if refusal == nil || refusal.Ran != contract.RanNo || r.reached == contract.RanNo {
--- a/instance/entry/serve.go
+++ b/instance/entry/serve.go
@@ -233,14 +233,7 @@
 // abandon ends a request whose caller left or whose time is over. What the
 // steps have ended before stands: its answer is not held back.
 func (e *Entry) abandon(ctx context.Context, h *table.Held, r *request, sink contract.Sink) *contract.Refusal {
-	var refusal *contract.Refusal
-	e.update(h, r.ID, func(r *request) { refusal = r.cutShort(context.Cause(ctx)) })
-	if refusal != nil {
-		if truth, ok := e.claimTimeUp(h, r.ID, refusal.Code, refusal.Reason); ok {
-			refusal = truth
-		}
-		e.pool.Start(e.finish(h, r.ID, refusal)...)
-	}
+	e.pool.Start(e.cutOne(h, r.ID, leftOrLate(context.Cause(ctx)))...)
 	out := e.takeOutput(h, r)
 	if err := write(out, sink); err != nil {
 		return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanYes, Reason: "the caller left"}
@@ -256,15 +249,10 @@
 	return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanYes, Reason: "the caller left"}
 }
 
-// cutShort is the refusal of a request that is ended from outside.
-func (r *request) cutShort(cause error) *contract.Refusal {
-	refusal := &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanUnknown, Reason: "the caller left"}
+// leftOrLate is the refusal of a request whose caller left or whose time is over.
+func leftOrLate(cause error) *contract.Refusal {
 	if cause == context.DeadlineExceeded {
-		refusal.Code = contract.CodeDeadline
-		refusal.Reason = "the request took too long"
-	}
-	if r.state < stateReserving {
-		refusal.Ran = contract.RanNo
+		return &contract.Refusal{Code: contract.CodeDeadline, Reason: "the request took too long"}
 	}
-	return refusal
+	return &contract.Refusal{Code: contract.CodeCanceled, Reason: "the caller left"}
 }
--- a/instance/entry/spread.go
+++ b/instance/entry/spread.go
@@ -177,16 +177,21 @@
 				continue
 			}
 			if refusal := check(r); refusal != nil {
-				refusal.Ran = r.cutShort(nil).Ran
 				cut[id] = refusal
 			}
 		}
 	})
 	for id, refusal := range cut {
-		if truth, ok := e.claimTimeUp(h, id, refusal.Code, refusal.Reason); ok {
-			refusal = truth
-		}
-		effects = append(effects, e.finish(h, id, refusal)...)
+		effects = append(effects, e.cutOne(h, id, refusal)...)
 	}
 	return effects
 }
+
+// cutOne ends a request from outside; the claim of one that holds one knows best
+// whether it ran.
+func (e *Entry) cutOne(h *table.Held, id contract.RequestID, refusal *contract.Refusal) []pool.Effect {
+	if truth, ok := e.claimTimeUp(h, id, refusal.Code, refusal.Reason); ok {
+		return e.finish(h, id, truth)
+	}
+	return e.cut(h, id, refusal)
+}
--- a/instance/sidecar/generate.go
+++ b/instance/sidecar/generate.go
@@ -112,7 +112,9 @@
 	case errors.Is(err, link.ErrRejected):
 		return &contract.Refusal{Code: contract.CodeUpstreamFailed, Ran: contract.RanNo, Reason: err.Error()}
 	case errors.Is(err, context.Canceled):
-		return &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanUnknown, Reason: "canceled"}
+		// Nobody hears this of a call that its entry ended; of one that was
+		// ended here, because the upstream is silent, the upstream failed.
+		return &contract.Refusal{Code: contract.CodeUpstreamFailed, Ran: contract.RanUnknown, Repeat: true, Reason: "the call was ended because the upstream is silent"}
 	case errors.Is(err, context.DeadlineExceeded):
 		return &contract.Refusal{Code: contract.CodeDeadline, Ran: contract.RanUnknown, Repeat: true, Reason: "the upstream took too long"}
 	default:
