Compare with the stand-in directly; give the burn report settings

Cause: the cost of a token was measured without the stand-in's own part; trefoil-burn had no settings file.

--- a/cmd/trefoil-burn/main.go
+++ b/cmd/trefoil-burn/main.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +18,7 @@
 	"github.com/trefoilwalk/trefoilwalk/contract/burn"
 	"github.com/trefoilwalk/trefoilwalk/link/burnpage"
 	"github.com/trefoilwalk/trefoilwalk/link/burnstats"
+	"github.com/trefoilwalk/trefoilwalk/link/settings"
 )
 
 // version is set by the linker.
@@ -38,11 +41,13 @@
 	report := app.Command("report", "Read entries or saved files and report.").Default()
 	asJSON := report.Flag("json", "Print one JSON object.").Bool()
 	html := report.Flag("html", "Print one HTML page with plots.").Bool()
+	config := report.Flag("config", "The TOML file with the settings; flags go before it.").String()
+	check := report.Flag("check", "Read and check the settings, then exit.").Bool()
 	keyFile := report.Flag("key-file", "File with an operator's key.").String()
-	timeout := report.Flag("timeout", "Longest wait for all sources.").Default("5s").Duration()
-	latency := report.Flag("latency-goal", "Share of requests that must meet a latency target.").Default("0.95").Float64()
-	answered := report.Flag("answer-goal", "Share of requests within their rate that must be answered.").Default("0.999").Float64()
-	sources := report.Arg("source", "URL of an operators' listener, or a file saved from its /debug/vars.").Required().Strings()
+	timeout := report.Flag("timeout", "Longest wait for all sources; 5s unless the settings say so.").Duration()
+	latency := report.Flag("latency-goal", "Share of requests that must meet a latency target; 0.95 unless the settings say so.").Float64()
+	answered := report.Flag("answer-goal", "Share of requests within their rate that must be answered; 0.999 unless the settings say so.").Float64()
+	sources := report.Arg("source", "URL of an operators' listener, or a file saved from its /debug/vars.").Strings()
 	app.Command("version", "Print the version.")
 	chosen, err := app.Parse(args)
 	if err != nil {
@@ -52,16 +57,34 @@
 		_, err := fmt.Fprintln(out, version)
 		return err
 	}
-	key, err := readKey(*keyFile)
+	s := settings.DefaultBurn()
+	if *config != "" {
+		if s, err = settings.LoadBurn(*config); err != nil {
+			return err
+		}
+	}
+	if *check {
+		_, err := fmt.Fprintln(out, "settings are good")
+		return err
+	}
+	if len(*sources) > 0 {
+		s.Sources = *sources
+	}
+	if len(s.Sources) == 0 {
+		return errors.New("name at least one source, or a --config file that does")
+	}
+	s.KeyFile = cmp.Or(*keyFile, s.KeyFile)
+	wait := cmp.Or(*timeout, s.Timeout.Duration)
+	key, err := readKey(s.KeyFile)
 	if err != nil {
 		return err
 	}
-	goals := burn.Goals{Latency: *latency, NotRefused: *answered}
+	goals := burn.Goals{Latency: cmp.Or(*latency, s.LatencyGoal), NotRefused: cmp.Or(*answered, s.AnswerGoal)}
 	if err := goals.Check(); err != nil {
 		return err
 	}
-	source := burnstats.Source{Client: &http.Client{Timeout: *timeout}, Key: key}
-	snapshots, silent := source.ReadAll(ctx, *sources, *timeout)
+	source := burnstats.Source{Client: &http.Client{Timeout: wait}, Key: key}
+	snapshots, silent := source.ReadAll(ctx, s.Sources, wait)
 	return write(out, burn.Evaluate(snapshots, silent, goals), *asJSON, *html)
 }
 
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -12,11 +12,40 @@
 	}
 }
 
-// BenchmarkRequests is requests of several lengths.
-func BenchmarkRequests(b *testing.B) {
+// BenchmarkStream compares 20 streams of 100 tokens at a time through entry and
+// sidecars with the same taken from the stand-in engine directly. The time of an
+// operation is the engine's; what is added is in the processor time a token.
+func BenchmarkStream(b *testing.B) {
+	const tokens = 100
+	r, err := newRig(2)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.close()
+	for name, run := range map[string]func(int) error{"direct": direct, "through": r.run} {
+		b.Run(name, func(b *testing.B) {
+			before := cpu()
+			for range b.N {
+				if err := run(tokens); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(micros(cpu()-before)/float64(b.N*rigSlots*tokens), "µs-cpu/token")
+		})
+	}
+}
+
+// BenchmarkFirstToken is requests of one token, one after the other: the time that
+// entry and sidecars add to a request.
+func BenchmarkFirstToken(b *testing.B) {
+	r, err := newRig(2)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer r.close()
 	for range b.N {
-		if _, err := requestCost(); err != nil {
-			b.Fatal(err)
+		if refusal := r.entry.Serve(b.Context(), incoming(rigModel, 1), drop{}); refusal != nil {
+			b.Fatal(refusal)
 		}
 	}
 }
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -9,6 +9,7 @@
 		waitingCost,
 		pollCost,
 		idleCost,
+		directCost,
 		requestCost,
 	} {
 		slopes, err := measure()
--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
 )
 
 // drop is a sink that only looks for the end.
@@ -49,6 +50,40 @@
 	}, nil
 }
 
+// directCost measures the same streams taken from the stand-in engine directly:
+// what is above it is added by entry and sidecars.
+func directCost() ([]Slope, error) {
+	var times []Point
+	for _, tokens := range []int{25, 50, 100, 200, 400} {
+		before := cpu()
+		if err := direct(tokens); err != nil {
+			return nil, err
+		}
+		times = append(times, Point{float64(tokens), micros(cpu()-before) / rigSlots})
+	}
+	return []Slope{fit("direct call, processor time", "token", "µs", times)}, nil
+}
+
+// direct takes as many streams at a time as the decode engine has slots.
+func direct(tokens int) error {
+	var wg sync.WaitGroup
+	failed := make(chan error, rigSlots)
+	for range rigSlots {
+		wg.Go(func() {
+			call := link.Decode{MaxTokens: contract.Tokens(tokens)}
+			failed <- stepEngine{}.Decode(context.Background(), call, func(contract.Chunk) error { return nil })
+		})
+	}
+	wg.Wait()
+	close(failed)
+	for err := range failed {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // run runs as many requests at a time as the decode engine has slots.
 func (r *rig) run(tokens int) error {
 	var wg sync.WaitGroup
--- a/internal/process/examples_test.go
+++ b/internal/process/examples_test.go
@@ -12,7 +12,7 @@
 // TestExamples checks every example settings file as --check does.
 func TestExamples(t *testing.T) {
 	files, err := filepath.Glob("../../examples/*/*.toml")
-	if err != nil || len(files) < 14 {
+	if err != nil || len(files) < 16 {
 		t.Fatalf("%d example files, %v", len(files), err)
 	}
 	for _, file := range files {
@@ -22,6 +22,8 @@
 			_, err = settings.LoadEntry(file)
 		case strings.HasPrefix(name, "sidecar"):
 			_, err = settings.LoadSidecar(file)
+		case name == "burn.toml":
+			_, err = settings.LoadBurn(file)
 		default:
 			_, err = shell.ReadSettings(file)
 		}
--- a/link/settings/load.go
+++ b/link/settings/load.go
@@ -73,3 +73,14 @@
 	}
 	return Problem{Reason: strings.TrimPrefix(err.Error(), "toml: ")}
 }
+
+// LoadBurn reads the settings of the burn report.
+func LoadBurn(path string) (Burn, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Burn{}, fmt.Errorf("settings: %w", err)
+	}
+	s := DefaultBurn()
+	err = decode(path, string(text), &s, s.check)
+	return s, err
+}
