A call that was ended here says nothing of its upstream

With the log on, each canceled call was followed by others that broke off: the link says 'gone' of a call that was ended on this side, the sidecar looked at the engine with the ended context, got no answer, took the engine for dead and ended all its calls. Change: a call whose context has ended is no sign of the upstream. Measured: 3 rows of the fault table fail without the change and pass with it.

--- a/instance/sidecar/crash.go
+++ b/instance/sidecar/crash.go
@@ -113,6 +113,10 @@
 // that the upstream is there and has not been restarted, so that it may still know
 // the call.
 func (s *Sidecar) broke(ctx context.Context, fp contract.Fingerprint, err error) (lives bool) {
+	if ctx.Err() != nil {
+		// The call was ended here, which says nothing of the upstream.
+		return false
+	}
 	brokeOff := errors.Is(err, link.ErrGone) || errors.Is(err, link.ErrUnknownCall)
 	if !brokeOff && !errors.Is(err, link.ErrNotSent) {
 		return true
--- a/instance/sidecar/faults_test.go
+++ b/instance/sidecar/faults_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -50,7 +51,8 @@
 	case <-crash:
 		return link.ErrGone
 	case <-ctx.Done():
-		return ctx.Err()
+		// As the link says it of a call that was ended on this side.
+		return fmt.Errorf("%w: %w", link.ErrGone, ctx.Err())
 	}
 }
 
@@ -71,6 +73,9 @@
 }
 
 func (f *fakeEngine) State(ctx context.Context) (link.EngineState, error) {
+	if ctx.Err() != nil {
+		return link.EngineState{}, fmt.Errorf("%w: %w", link.ErrNotSent, ctx.Err())
+	}
 	f.mu.Lock()
 	if f.frozen {
 		f.mu.Unlock()
@@ -196,6 +201,14 @@
 	}
 }
 
+// cancel ends a call as its entry does.
+func (b *bench) cancel(name contract.RequestID) {
+	q := &peer.CancelRequest{Header: peer.Header{From: entryID}, Calls: []contract.CallID{{Request: name, Attempt: 1}}}
+	if _, err := b.s.Cancel(b.t.Context(), q); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
 // freeze lets the engine answer nothing for three seconds while the entry polls for
 // a call, and gives that call's failure.
 func (b *bench) freeze(name contract.RequestID) (code contract.Code) {
@@ -292,6 +305,27 @@
 			time.Sleep(time.Second)
 			return b.reserve("r1", 1)
 		}, ok},
+		{"a call that its caller left ends no other", func(b *bench) any {
+			b.decode("r1", 1)
+			b.decode("r2", 2)
+			b.cancel("r1")
+			time.Sleep(100 * time.Millisecond)
+			return b.poll("r2")
+		}, ok},
+		{"and the engine gets work on", func(b *bench) any {
+			b.decode("r1", 1)
+			b.cancel("r1")
+			time.Sleep(100 * time.Millisecond)
+			return b.reserve("r2", 2)
+		}, ok},
+		{"however many callers leave, nobody is blamed", func(b *bench) any {
+			for _, name := range []contract.RequestID{"r1", "r2", "r3"} {
+				b.decode(name, 1)
+				b.cancel(name)
+				time.Sleep(time.Second)
+			}
+			return b.reserve("r4", 1)
+		}, ok},
 		{"a frozen engine gets no work", func(b *bench) any {
 			b.engine.set(func() { b.engine.frozen = true })
 			time.Sleep(3 * time.Second)
