Wait in one place

Cause: entry, sidecar and the store of the configuration each had the same wait for a time or the end of a context. Change: clock.Wait serves all three. Measured: tests of instance, configstore and layers pass; behaviour is the same.

--- a/instance/clock/clock.go
+++ b/instance/clock/clock.go
@@ -1,7 +1,10 @@
 // Package clock gives time to decisions, so that tests can drive it.
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time and calls back after a while.
 type Clock interface {
@@ -29,3 +32,16 @@
 func (System) AfterFunc(d time.Duration, f func()) Timer {
 	return time.AfterFunc(d, f)
 }
+
+// Wait lets the goroutine of a link wait for d; it reports false if ctx ended
+// before. Steps of the worker pool must not call it.
+func Wait(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/instance/entry/claimtable.go
+++ b/instance/entry/claimtable.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/claim"
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 )
@@ -42,25 +42,13 @@
 func (e *Entry) writeClaim(ctx context.Context, key claim.Key, version uint64, from claim.State, record claim.Record) (result claim.WriteResult, err error) {
 	for try := range throttledTries {
 		result, err = e.claimStore.Write(ctx, key, version, from, record)
-		if !errors.Is(err, platform.ErrThrottled) || !pause(ctx, claim.Pause(try)) {
+		if !errors.Is(err, platform.ErrThrottled) || !clock.Wait(ctx, claim.Pause(try)) {
 			break
 		}
 	}
 	return result, err
 }
 
-// pause waits in a link's goroutine; it reports false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // claimRead reads the claim as it stands.
 func (e *Entry) claimRead(id contract.RequestID, key claim.Key) pool.Effect {
 	return e.claimCall(id, func(ctx context.Context) func(run *claimRun) claim.Action {
--- a/instance/sidecar/stream.go
+++ b/instance/sidecar/stream.go
@@ -98,7 +98,7 @@
 		if !s.broke(ctx, fp, err) {
 			return err
 		}
-		if !pause(ctx, resumeWait) {
+		if !clock.Wait(ctx, resumeWait) {
 			return context.Cause(ctx)
 		}
 		err = s.engine.Resume(ctx, q.Call, next, emit)
@@ -127,15 +127,3 @@
 	chunk.Texts = chunk.Texts[known:]
 	return chunk, len(chunk.Texts) > 0 || chunk.Done
 }
-
-// pause waits in a link's goroutine; it reports false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/link/platform/configstore/accept.go
+++ b/link/platform/configstore/accept.go
@@ -8,6 +8,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 )
@@ -85,7 +86,7 @@
 		if done, err := s.readBack(ctx, change, writeID); done {
 			return err
 		}
-		if !pause(ctx, acceptBackoff<<attempt) {
+		if !clock.Wait(ctx, acceptBackoff<<attempt) {
 			break
 		}
 	}
@@ -121,7 +122,7 @@
 		if err == nil && h.Revision >= change.Revision && !maybeWritten {
 			return &config.ConflictError{Expected: change.Revision - 1, Winner: h.Revision, By: h.By, At: h.At}
 		}
-		if !pause(ctx, acceptBackoff<<attempt) {
+		if !clock.Wait(ctx, acceptBackoff<<attempt) {
 			break
 		}
 	}
@@ -142,15 +143,3 @@
 	}
 	return conflict
 }
-
-// pause waits and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
