--- /dev/null
+++ b/cmd/trefoil-gateway/main.go
@@ -0,0 +1,13 @@
+// Trefoil-gateway is the process that callers reach in a fleet whose upstreams
+// register themselves.
+package main
+
+import (
+	"os"
+
+	"github.com/trefoilwalk/trefoilwalk/platform"
+)
+
+func main() {
+	os.Exit(platform.Program().Main(os.Args[1:]))
+}
--- /dev/null
+++ b/contract/quota/quota.go
@@ -0,0 +1,200 @@
+// Package quota keeps client accounts within their quotas across all processes
+// of a fleet, without asking anybody on a request's path. Each process counts
+// what it admitted and hears from the others what they did; a process that was
+// not heard from lately is taken to use an even share. The quota of the pages
+// has a slack, which covers what was admitted but not heard of yet.
+//
+// A Meter has no lock; it lives in a shared table of rank RankRates.
+package quota
+
+import (
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+)
+
+// Peer names a process of the fleet.
+type Peer = instance.Name
+
+// Usage is what a process admitted for each account since it started.
+type Usage map[contract.AccountID]float64
+
+// Statement is the usage of one process at one moment. A later one replaces an
+// earlier one; a new incarnation counts from zero.
+type Statement struct {
+	Incarnation instance.Incarnation
+	Sequence    uint64
+	Usage       Usage
+}
+
+// HeardWithin is the age above which a peer's figures count as unknown: three
+// rounds of exchange.
+const HeardWithin = 1500 * time.Millisecond
+
+// Options configure a meter.
+type Options struct {
+	// Window is the span over which quotas are judged.
+	Window time.Duration
+	// Overdraft is what an account may use beyond its quota in a window before
+	// anything is refused. It covers what was admitted but not heard of yet.
+	Overdraft float64
+	// Incarnation is this process's own.
+	Incarnation instance.Incarnation
+}
+
+// Meter is what one process knows of the accounts' usage.
+type Meter struct {
+	options Options
+	// sequence numbers this process's statements.
+	sequence uint64
+	own      Usage
+	peers    map[Peer]*peer
+	local    map[contract.AccountID]*bucket
+}
+
+// peer is what was heard from another process.
+type peer struct {
+	Statement
+	heard time.Time
+}
+
+// bucket is an account's tokens as seen from here: it fills at the account's
+// rate and is emptied by what anybody used.
+type bucket struct {
+	level float64
+	at    time.Time
+}
+
+// NewMeter returns an empty meter.
+func NewMeter(o Options) *Meter {
+	return &Meter{
+		options: o,
+		own:     make(Usage),
+		peers:   make(map[Peer]*peer),
+		local:   make(map[contract.AccountID]*bucket),
+	}
+}
+
+// Decision is the outcome of Admit, with what led to it.
+type Decision struct {
+	Granted bool
+	// After is when tokens will be there again.
+	After time.Duration
+	// Level is what was left, Cost what was asked.
+	Level, Cost float64
+	// Silent counts the peers whose figures were too old.
+	Silent int
+}
+
+// Admit takes the cost of a request from an account.
+func (m *Meter) Admit(now time.Time, account *directory.Account, cost float64) Decision {
+	d := Decision{Granted: true, Cost: cost}
+	if !account.Quota.Limited() {
+		return d
+	}
+	b, share := m.fill(now, account)
+	d.Silent = m.silent(now)
+	d.Level = b.level
+	// A request larger than the burst passes when the bucket is full.
+	needed := min(cost, account.Quota.Burst) - m.overdraft(account)
+	if b.level >= needed {
+		b.level -= cost
+		m.own[account.ID] += cost
+		return d
+	}
+	d.Granted = false
+	d.After = time.Duration((needed - b.level) / (account.Quota.PerSecond * share) * float64(time.Second))
+	return d
+}
+
+// overdraft is what an account may be below zero here.
+func (m *Meter) overdraft(account *directory.Account) float64 {
+	if !account.Quota.ByTokens {
+		return 0
+	}
+	return m.options.Overdraft
+}
+
+// Refund gives back the cost of a request that no upstream ran.
+func (m *Meter) Refund(account contract.AccountID, cost float64) {
+	b, ok := m.local[account]
+	if !ok {
+		return
+	}
+	b.level += cost
+	m.own[account] -= cost
+}
+
+// fill brings an account's bucket up to now. While peers are silent only the
+// part of the rate that does not belong to them flows in.
+func (m *Meter) fill(now time.Time, account *directory.Account) (*bucket, float64) {
+	share := m.share(now)
+	b, ok := m.local[account.ID]
+	if !ok {
+		b = &bucket{level: account.Quota.Burst, at: now}
+		m.local[account.ID] = b
+	}
+	if now.After(b.at) {
+		b.level += now.Sub(b.at).Seconds() * account.Quota.PerSecond * share
+		b.at = now
+	}
+	b.level = min(b.level, account.Quota.Burst)
+	return b, share
+}
+
+// share is the part of a rate that may be spent here: all of it as far as peers
+// are heard, less an even part for each silent one.
+func (m *Meter) share(now time.Time) float64 {
+	all := len(m.peers) + 1
+	return float64(all-m.silent(now)) / float64(all)
+}
+
+func (m *Meter) silent(now time.Time) int {
+	silent := 0
+	for _, p := range m.peers {
+		if now.Sub(p.heard) > HeardWithin {
+			silent++
+		}
+	}
+	return silent
+}
+
+// Own states what this process admitted, to be told to peers.
+func (m *Meter) Own() Statement {
+	usage := make(Usage, len(m.own))
+	for id, used := range m.own {
+		usage[id] = used
+	}
+	m.sequence++
+	return Statement{Incarnation: m.options.Incarnation, Sequence: m.sequence, Usage: usage}
+}
+
+// Heard takes in what a peer states. The difference to what it stated before is
+// taken from the accounts' buckets. Statements may overtake each other.
+func (m *Meter) Heard(now time.Time, from Peer, s Statement) {
+	p, ok := m.peers[from]
+	switch {
+	case !ok:
+		// What it used before is not known to fall into this window.
+		m.peers[from] = &peer{Statement: s, heard: now}
+		return
+	case s.Incarnation < p.Incarnation || s.Incarnation == p.Incarnation && s.Sequence <= p.Sequence:
+		return
+	case s.Incarnation > p.Incarnation:
+		p.Usage = nil
+	}
+	for id, used := range s.Usage {
+		if b, ok := m.local[id]; ok {
+			b.level -= used - p.Usage[id]
+		}
+	}
+	p.Statement = s
+	p.heard = now
+}
+
+// Forget removes a peer that has left the fleet.
+func (m *Meter) Forget(from Peer) {
+	delete(m.peers, from)
+}
--- /dev/null
+++ b/instance/gateway/call.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// hangFactor times the objective is how long an attempt may take if the request
+// can be sent to another upstream after it.
+const hangFactor = 1.5
+
+// maxConnects bounds the upstreams that are tried until one takes a connection.
+const maxConnects = 4
+
+// call sends a plain request to an upstream of its service.
+func (g *Gateway) call(h *table.Held, r *request) []pool.Effect {
+	if refusal := g.stopped(h, r); refusal != nil {
+		return g.settle(h, r, refusal)
+	}
+	now := g.clock.Now()
+	choices := g.choose(h, now, r, upstream.RoleService, nil)
+	if len(choices) == 0 {
+		return g.settle(h, r, contract.RefuseRepeat(contract.CodeNoUpstream, minReturn, "no upstream takes the request"))
+	}
+	choice := choices[0]
+	g.board.With(h, func(b **roster.Board) {
+		(*b).Took(choice, 0)
+		(*b).Probe(now, choice)
+	})
+	r.place, r.held = &choice, 0
+	r.placedAt = now
+	r.attempts++
+	options := r.options(now)
+	limit := r.left(now)
+	again := r.route.Kind == directory.Idempotent && r.attempts < r.route.MaxAttempts && len(choices) > 1
+	if again {
+		limit = min(limit, time.Duration(hangFactor*float64(r.route.Objective)))
+	}
+	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(r.ctx, limit)
+		defer cancel()
+		answer, result := g.runners.Call(ctx, choice.Target, r.message, options)
+		return func(h *table.Held) []pool.Effect { return g.called(h, r, choice, answer, result) }
+	}}}
+}
+
+// called delivers the answer, or goes on after a failure.
+func (g *Gateway) called(h *table.Held, r *request, choice roster.Choice, answer runner.Answer, result runner.Result) []pool.Effect {
+	effects := g.leave(h, r)
+	ended := r.ctx.Err() != nil
+	g.judge(h, r, choice, result, ended)
+	switch result.Reach {
+	case runner.Answered:
+		r.ran = contract.RanYes
+		if result.Status < 500 {
+			return append(effects, g.deliver(h, r, answer)...)
+		}
+		r.saved = &answer
+	case runner.Broken:
+		r.ran = max(r.ran, contract.RanUnknown)
+	case runner.NotSent:
+		r.attempts--
+	}
+	g.logAttempt(r, "call", choice, result)
+	if result.Reach == runner.Broken && !ended {
+		effects = append(effects, g.checkCrash(r, choice)...)
+	}
+	if !ended {
+		r.failed(choice.ID)
+	}
+	switch {
+	case ended:
+		return append(effects, g.settle(h, r, r.over())...)
+	case result.Reach == runner.NotSent && len(r.exclude) < maxConnects:
+		return append(effects, g.call(h, r)...)
+	case r.attempts < r.route.MaxAttempts && g.mayRetry(h, r, r.ran):
+		return append(effects, g.call(h, r)...)
+	}
+	return append(effects, g.settle(h, r, g.refusalAfter(r, result))...)
+}
+
+// settle ends a plain request with the failure that an upstream answered, if
+// there is one, or with a refusal.
+func (g *Gateway) settle(h *table.Held, r *request, refusal *contract.Refusal) []pool.Effect {
+	if r.saved != nil {
+		return g.deliver(h, r, *r.saved)
+	}
+	return g.finish(h, r, refusal)
+}
+
+// perEvent is the time that an upstream took for each event of its answer.
+func (g *Gateway) perEvent(r *request, now time.Time) time.Duration {
+	return now.Sub(r.placedAt) / time.Duration(max(1, r.events))
+}
--- /dev/null
+++ b/instance/gateway/events.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// event names one kind of decision in the log. docs/OPERATIONS.md explains each.
+type event string
+
+// Decisions that touch a request.
+const (
+	eventRefused       event = "request_refused"
+	eventAdmitted      event = "request_admitted"
+	eventParked        event = "request_parked"
+	eventReserved      event = "place_reserved"
+	eventPrefilled     event = "prompt_prefilled"
+	eventAttemptFailed event = "attempt_failed"
+	eventRetried       event = "request_retried"
+	eventEnded         event = "request_ended"
+	eventCleanupFailed event = "cleanup_failed"
+)
+
+// Decisions that change what the process believes.
+const (
+	eventConfig       event = "configuration_in_force"
+	eventUpstream     event = "upstream_changed"
+	eventStoreLost    event = "registry_lost"
+	eventStoreBack    event = "registry_back"
+	eventPeerLost     event = "peer_lost"
+	eventPeerBack     event = "peer_back"
+	eventQuarantined  event = "request_quarantined"
+	eventServing      event = "serving"
+	eventDraining     event = "draining"
+	eventDutyTaken    event = "duty_taken"
+	eventDutyLost     event = "duty_lost"
+	eventRoleOrdered  event = "role_ordered"
+	eventEntered      event = "entered"
+	eventEnterFailed  event = "enter_failed"
+	eventHistoryGone  event = "registry_history_gone"
+	eventCrashed      event = "upstream_crashed"
+	eventQuotaLowered event = "quota_peers_silent"
+)
+
+// logRefused records a request that was refused before it had a row.
+func (g *Gateway) logRefused(m *contract.Message, version uint64, refusal *contract.Refusal) {
+	g.metrics.refused(refusal.Code)
+	g.log.Info(string(eventRefused), "request", m.ID, "code", refusal.Code, "reason", refusal.Reason,
+		"config", version, "after_ms", refusal.After.Milliseconds())
+}
+
+// recordEnd records how a request ended.
+func (g *Gateway) recordEnd(r *request, refusal *contract.Refusal) {
+	now := g.clock.Now()
+	took := now.Sub(r.arrived)
+	g.metrics.ended(r, refusal, now)
+	args := []any{
+		"request", r.message.ID, "route", r.route.Name, "account", r.accountID(), "took_ms", took.Milliseconds(),
+		"attempts", r.attempts, "prefills", r.prefills, "events", r.events, "ran", r.ran.String(), "config", r.version,
+	}
+	if !r.firstAt.IsZero() {
+		args = append(args, "first_ms", r.firstAt.Sub(r.arrived).Milliseconds())
+	}
+	if refusal == nil {
+		g.log.Info(string(eventEnded), append(args, "outcome", "answered")...)
+		return
+	}
+	g.log.Info(string(eventEnded), append(args, "outcome", refusal.Code, "reason", refusal.Reason,
+		"after_ms", refusal.After.Milliseconds(), "begun", r.begun, "caller_left", r.gone)...)
+}
+
+// logAttempt records an attempt that did not lead to an answer.
+func (g *Gateway) logAttempt(r *request, what string, c roster.Choice, result runner.Result) {
+	g.log.Info(string(eventAttemptFailed), "request", r.message.ID, "call", what, "upstream", c.ID, "address", c.Addr,
+		"reach", result.Reach.String(), "status", result.Status, "error", result.Err, "events", r.events,
+		"held_tokens", c.Tokens, "held_calls", c.Calls)
+}
--- /dev/null
+++ b/instance/gateway/metrics.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// Buckets of latency histograms, by their upper bounds.
+var latencyBounds = []time.Duration{
+	10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond,
+	500 * time.Millisecond, 700 * time.Millisecond, 900 * time.Millisecond, 1200 * time.Millisecond, 2 * time.Second,
+	4 * time.Second, 8 * time.Second, 16 * time.Second,
+}
+
+// Histogram counts durations by upper bound; the last count is for longer ones.
+type Histogram struct {
+	Counts []uint64
+	Sum    time.Duration
+}
+
+func (h *Histogram) add(d time.Duration) {
+	if h.Counts == nil {
+		h.Counts = make([]uint64, len(latencyBounds)+1)
+	}
+	at := 0
+	for at < len(latencyBounds) && d > latencyBounds[at] {
+		at++
+	}
+	h.Counts[at]++
+	h.Sum += d
+}
+
+// LatencyBounds gives the upper bounds of a Histogram's buckets.
+func LatencyBounds() []time.Duration {
+	return latencyBounds
+}
+
+// OutcomeKey is what requests are counted by.
+type OutcomeKey struct {
+	Route   contract.RouteName
+	Outcome string
+}
+
+// Metrics are the counters of one process. They have a lock of their own, since
+// they are read by whoever asks for them; it is taken last.
+type Metrics struct {
+	mu      sync.Mutex
+	ends    map[OutcomeKey]uint64
+	refuses map[contract.Code]uint64
+	first   map[contract.RouteName]*Histogram
+	whole   map[contract.RouteName]*Histogram
+	config  uint64
+}
+
+// NewMetrics returns counters at zero.
+func NewMetrics() *Metrics {
+	return &Metrics{
+		ends:    make(map[OutcomeKey]uint64),
+		refuses: make(map[contract.Code]uint64),
+		first:   make(map[contract.RouteName]*Histogram),
+		whole:   make(map[contract.RouteName]*Histogram),
+	}
+}
+
+func (m *Metrics) setConfig(version uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config = version
+}
+
+func (m *Metrics) refused(code contract.Code) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.refuses[code]++
+}
+
+func (m *Metrics) ended(r *request, refusal *contract.Refusal, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	outcome := "answered"
+	if refusal != nil {
+		outcome = string(refusal.Code)
+	}
+	m.ends[OutcomeKey{r.route.Name, outcome}]++
+	if !r.firstAt.IsZero() {
+		histogram(m.first, r.route.Name).add(r.firstAt.Sub(r.arrived))
+	}
+	if refusal == nil {
+		histogram(m.whole, r.route.Name).add(now.Sub(r.arrived))
+	}
+}
+
+func histogram(of map[contract.RouteName]*Histogram, route contract.RouteName) *Histogram {
+	h, ok := of[route]
+	if !ok {
+		h = &Histogram{}
+		of[route] = h
+	}
+	return h
+}
+
+// Reading is a copy of all counters at one moment.
+type Reading struct {
+	Ends         map[OutcomeKey]uint64
+	Refusals     map[contract.Code]uint64
+	First, Whole map[contract.RouteName]Histogram
+	Config       uint64
+}
+
+// Read copies the counters.
+func (m *Metrics) Read() Reading {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := Reading{
+		Ends:     make(map[OutcomeKey]uint64, len(m.ends)),
+		Refusals: make(map[contract.Code]uint64, len(m.refuses)),
+		First:    make(map[contract.RouteName]Histogram, len(m.first)),
+		Whole:    make(map[contract.RouteName]Histogram, len(m.whole)),
+		Config:   m.config,
+	}
+	for k, n := range m.ends {
+		out.Ends[k] = n
+	}
+	for code, n := range m.refuses {
+		out.Refusals[code] = n
+	}
+	for route, h := range m.first {
+		out.First[route] = h.copy()
+	}
+	for route, h := range m.whole {
+		out.Whole[route] = h.copy()
+	}
+	return out
+}
+
+func (h *Histogram) copy() Histogram {
+	return Histogram{Counts: append([]uint64(nil), h.Counts...), Sum: h.Sum}
+}
--- /dev/null
+++ b/instance/gateway/prefill.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// Limits of reading a prompt.
+const (
+	// MaxPrefills bounds the engines that are sent one prompt for one place.
+	MaxPrefills = 2
+	// PrefillTimeout bounds one reading: beyond it the reservation has lapsed.
+	PrefillTimeout = 1500 * time.Millisecond
+)
+
+// prefill has the prompt read for the place that the request holds. Without a
+// prefill engine the decode engine reads it.
+func (g *Gateway) prefill(h *table.Held, r *request) []pool.Effect {
+	if refusal := g.stopped(h, r); refusal != nil {
+		return g.finish(h, r, refusal)
+	}
+	now := g.clock.Now()
+	choices := g.choose(h, now, r, upstream.RolePrefill, r.place)
+	if len(choices) == 0 || r.prefills >= MaxPrefills {
+		return g.stream(h, r, runner.Handle{})
+	}
+	choice := choices[0]
+	prompt := r.message.Prompt
+	g.board.With(h, func(b **roster.Board) {
+		(*b).Took(choice, prompt)
+		(*b).Probe(now, choice)
+	})
+	r.prefills++
+	r.prefillAt = now
+	options := r.options(now)
+	options.Reservation = ""
+	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(r.ctx, PrefillTimeout)
+		defer cancel()
+		handle, result := g.runners.Prefill(ctx, choice.Target, r.message, options)
+		return func(h *table.Held) []pool.Effect { return g.prefilled(h, r, choice, handle, result) }
+	}}}
+}
+
+// prefillUnit is the prompt for which reading times are compared, in tokens.
+const prefillUnit = 1000
+
+// prefilled goes on with the KV cache, or with another engine.
+func (g *Gateway) prefilled(h *table.Held, r *request, choice roster.Choice, handle runner.Handle, result runner.Result) []pool.Effect {
+	now := g.clock.Now()
+	prompt := r.message.Prompt
+	ended := r.ctx.Err() != nil
+	g.board.With(h, func(b **roster.Board) {
+		(*b).Freed(choice, prompt)
+		switch {
+		case result.Reach == runner.Answered:
+			took := now.Sub(r.prefillAt) * prefillUnit / time.Duration(max(prompt, prefillUnit))
+			(*b).Succeeded(now, choice, took, result.Load)
+		case ended:
+		case result.Refused, result.Misdirected, result.Reach == runner.NotSent:
+			(*b).Down(now, choice)
+		case result.Reach == runner.Rejected:
+			(*b).Full(now, choice)
+		default:
+			(*b).Failed(now, choice)
+		}
+	})
+	if result.Reach == runner.Answered {
+		g.log.Info(string(eventPrefilled), "request", r.message.ID, "upstream", choice.ID, "tokens", prompt,
+			"took_ms", now.Sub(r.prefillAt).Milliseconds(), "held_tokens", choice.Tokens)
+		return g.stream(h, r, handle)
+	}
+	g.logAttempt(r, "prefill", choice, result)
+	r.failed(choice.ID)
+	var effects []pool.Effect
+	if result.Reach == runner.Broken && !ended {
+		effects = g.checkCrash(r, choice)
+	}
+	if r.prefills < MaxPrefills && !g.mayRetry(h, r, contract.RanNo) {
+		return append(effects, g.stream(h, r, runner.Handle{})...)
+	}
+	return append(effects, g.prefill(h, r)...)
+}
--- /dev/null
+++ b/instance/gateway/serve.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/contract/quota"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
+)
+
+// Forward implements contract.Forwarder.
+func (g *Gateway) Forward(ctx context.Context, m *contract.Message, sink contract.MessageSink) *contract.Refusal {
+	// Admission is short, and what was admitted has to be ended, so a caller
+	// that leaves meanwhile is noticed after it.
+	admitted, err := pool.Ask(context.WithoutCancel(ctx), g.pool, func(h *table.Held, answer func(admission)) []pool.Effect {
+		return g.admit(h, m, sink, answer)
+	})
+	if err != nil {
+		return contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests")
+	}
+	if admitted.refusal != nil {
+		return admitted.refusal
+	}
+	r := admitted.request
+	select {
+	case refusal := <-r.done:
+		return refusal
+	case <-ctx.Done():
+		g.pool.Resume(func(h *table.Held) []pool.Effect { return g.cut(h, r, true) })
+	case <-r.ctx.Done():
+		g.pool.Resume(func(h *table.Held) []pool.Effect { return g.cut(h, r, false) })
+	}
+	select {
+	case refusal := <-r.done:
+		return refusal
+	case <-g.ctx.Done():
+		return &contract.Refusal{Code: contract.CodeDraining, Ran: contract.RanUnknown, Reason: "the process ended"}
+	}
+}
+
+// admission is the outcome of the admit step.
+type admission struct {
+	request *request
+	refusal *contract.Refusal
+}
+
+// admit finds route and account, charges the quota and sends the request on its
+// way.
+func (g *Gateway) admit(h *table.Held, m *contract.Message, sink contract.MessageSink, answer func(admission)) []pool.Effect {
+	r, refusal := g.newRequest(h, m, sink)
+	if refusal != nil {
+		answer(admission{refusal: refusal})
+		return nil
+	}
+	g.insert(h, r)
+	g.retries.With(h, func(b **retry.Budget) { (*b).First() })
+	answer(admission{request: r})
+	if r.route.Kind == directory.Stream {
+		return g.arrive(h, r)
+	}
+	return g.call(h, r)
+}
+
+// newRequest turns a message into a request, or says why not.
+func (g *Gateway) newRequest(h *table.Held, m *contract.Message, sink contract.MessageSink) (*request, *contract.Refusal) {
+	snapshot := g.snapshot(h)
+	if snapshot == nil {
+		return nil, g.refuse(m, 0, contract.RefuseRepeat(contract.CodeNoConfig, g.options.ReturnAfter, "no configuration is known yet"))
+	}
+	refuse := func(refusal *contract.Refusal) (*request, *contract.Refusal) {
+		return nil, g.refuse(m, snapshot.Version, refusal)
+	}
+	if g.life.State() == instance.Gone || g.running.Load() >= int64(g.options.MaxRequests) {
+		return refuse(contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
+	}
+	route := snapshot.Route(m.Host, m.Path)
+	if route == nil {
+		return refuse(contract.Refuse(contract.CodeRouteUnknown, "no route for the host and path"))
+	}
+	var account *directory.Account
+	if snapshot.Keyed() && !route.Open {
+		account = snapshot.Account(m.Key)
+		if account == nil {
+			return refuse(contract.Refuse(contract.CodeKeyInvalid, "no account holds the key"))
+		}
+	}
+	r := g.describe(m, sink, route, account, snapshot.Version)
+	if refusal := g.quarantined(h, r); refusal != nil {
+		return refuse(refusal)
+	}
+	if refusal := g.charge(h, r); refusal != nil {
+		return refuse(refusal)
+	}
+	r.ctx, r.cancel = context.WithDeadline(g.ctx, r.deadline)
+	return r, nil
+}
+
+func (g *Gateway) refuse(m *contract.Message, version uint64, refusal *contract.Refusal) *contract.Refusal {
+	g.logRefused(m, version, refusal)
+	return refusal
+}
+
+// describe fills in a request's row.
+func (g *Gateway) describe(m *contract.Message, sink contract.MessageSink, route *directory.Route, account *directory.Account, version uint64) *request {
+	now := g.clock.Now()
+	within := route.Timeout
+	if m.Patience > 0 {
+		within = min(within, m.Patience)
+	}
+	r := &request{
+		row:      g.newRow(),
+		message:  m,
+		sink:     sink,
+		route:    route,
+		service:  route.Service(m.ID),
+		account:  account,
+		version:  version,
+		arrived:  now,
+		deadline: now.Add(within),
+		done:     make(chan *contract.Refusal, 1),
+	}
+	r.fingerprint = contract.FingerprintOf(r.accountID(), route.Name, m.Method, m.Target, string(m.Body))
+	return r
+}
+
+// charge takes the request's cost from its account.
+func (g *Gateway) charge(h *table.Held, r *request) *contract.Refusal {
+	if r.account == nil || !r.account.Quota.Limited() {
+		return nil
+	}
+	now := g.clock.Now()
+	cost := r.account.Quota.Cost(r.message)
+	var d quota.Decision
+	g.quotas.With(h, func(m **quota.Meter) { d = (*m).Admit(now, r.account, cost) })
+	if d.Granted {
+		r.cost = cost
+		return nil
+	}
+	g.log.Info(string(eventRefused), "request", r.message.ID, "account", r.account.ID, "cost", d.Cost, "level", d.Level,
+		"silent_peers", d.Silent, "per_second", r.account.Quota.PerSecond, "burst", r.account.Quota.Burst)
+	return contract.RefuseRepeat(contract.CodeRateLimited, max(d.After, minReturn), "the account is over its quota")
+}
+
+// minReturn is the least wait that a refusal asks for.
+const minReturn = 500 * time.Millisecond
+
+// refund gives back the cost of a request that no upstream ran.
+func (g *Gateway) refund(h *table.Held, r *request) {
+	g.quotas.With(h, func(m **quota.Meter) { (*m).Refund(r.account.ID, r.cost) })
+}
+
+// quarantined refuses a request that crashes upstreams.
+func (g *Gateway) quarantined(h *table.Held, r *request) (refusal *contract.Refusal) {
+	now := g.clock.Now()
+	g.suspects.With(h, func(t **quarantine.Table) { refusal = (*t).Check(now, r.fingerprint) })
+	return refusal
+}
+
+// excuse notes that a request ran to its end without a crash.
+func (g *Gateway) excuse(h *table.Held, r *request) {
+	now := g.clock.Now()
+	g.suspects.With(h, func(t **quarantine.Table) { (*t).Finished(now, r.fingerprint) })
+}
+
+// cut ends a request whose caller left or whose time is over. A call in flight
+// is canceled, and the step that follows it ends the request; one that waits for
+// room is ended here.
+func (g *Gateway) cut(h *table.Held, r *request, left bool) []pool.Effect {
+	if !g.live(h, r, func() { r.gone = r.gone || left }) {
+		return nil
+	}
+	r.cancel()
+	if g.unpark(h, r) {
+		return g.finish(h, r, r.over())
+	}
+	return nil
+}
+
+// over is the refusal of a request whose time has ended or whose caller left.
+func (r *request) over() *contract.Refusal {
+	if r.gone {
+		return &contract.Refusal{Code: contract.CodeCanceled, Reason: "the caller left"}
+	}
+	return &contract.Refusal{Code: contract.CodeDeadline, Reason: "the request took too long"}
+}
+
+// stopped gives the refusal of a request that must not go on: its caller left or
+// its time is over.
+func (g *Gateway) stopped(h *table.Held, r *request) (refusal *contract.Refusal) {
+	g.live(h, r, func() {
+		if r.gone || r.ctx.Err() != nil {
+			refusal = r.over()
+		}
+	})
+	return refusal
+}
--- /dev/null
+++ b/instance/gateway/stream.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// stream has the output made at the place that the request holds.
+func (g *Gateway) stream(h *table.Held, r *request, source runner.Handle) []pool.Effect {
+	if refusal := g.stopped(h, r); refusal != nil {
+		effects := g.finish(h, r, refusal)
+		if source.ID != "" {
+			effects = append(effects, g.freeHandle(source, r))
+		}
+		return effects
+	}
+	now := g.clock.Now()
+	choice := *r.place
+	options := r.options(now)
+	options.Source = source
+	// The engine takes the reservation with the request.
+	r.reservation = ""
+	r.attempts++
+	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+		answer, result := g.runners.Stream(r.ctx, choice.Target, r.message, options, &delivery{g: g, r: r})
+		return func(h *table.Held) []pool.Effect { return g.streamed(h, r, choice, source, answer, result) }
+	}}}
+}
+
+// freeHandle drops a KV cache that nobody will fetch.
+func (g *Gateway) freeHandle(source runner.Handle, r *request) pool.Effect {
+	return g.cleanup(func(ctx context.Context) runner.Result {
+		return g.runners.FreeHandle(ctx, runner.Target{Addr: source.Addr}, source.ID)
+	}, "handle", r)
+}
+
+// delivery writes a stream to the caller.
+type delivery struct {
+	g *Gateway
+	r *request
+}
+
+// Begin implements runner.StreamReceiver. A stream that goes on keeps the head
+// of its first run.
+func (d *delivery) Begin(status int, header map[string][]string) error {
+	if d.r.begun {
+		return nil
+	}
+	d.r.begun = true
+	return d.r.sink.Begin(status, header)
+}
+
+// Event implements runner.StreamReceiver.
+func (d *delivery) Event(e runner.Event) error {
+	if d.r.events == 0 {
+		d.r.firstAt = d.g.clock.Now()
+	}
+	if err := d.r.sink.Write(e.Raw); err != nil {
+		return err
+	}
+	d.r.events++
+	if e.ID != "" {
+		d.r.last = e.ID
+	}
+	return nil
+}
+
+// streamed ends the request, or goes on after a failure.
+func (g *Gateway) streamed(h *table.Held, r *request, choice roster.Choice, source runner.Handle, answer runner.Answer, result runner.Result) []pool.Effect {
+	effects := g.leave(h, r)
+	now := g.clock.Now()
+	ended := r.ctx.Err() != nil
+	g.judge(h, r, choice, result, ended)
+	switch result.Reach {
+	case runner.Answered:
+		r.ran = contract.RanYes
+		return append(effects, g.answered(h, r, answer, result)...)
+	case runner.Broken:
+		r.ran = contract.RanUnknown
+	}
+	g.logAttempt(r, "stream", choice, result)
+	if refusal := g.stopped(h, r); refusal != nil {
+		if result.Reach != runner.Broken && source.ID != "" {
+			effects = append(effects, g.freeHandle(source, r))
+		}
+		return append(effects, g.finish(h, r, refusal)...)
+	}
+	if result.Reach == runner.Broken {
+		effects = append(effects, g.checkCrash(r, choice)...)
+	}
+	r.failed(choice.ID)
+	if g.mayGoOn(h, r, result) {
+		g.log.Info(string(eventRetried), "request", r.message.ID, "attempts", r.attempts, "after_event", r.last,
+			"slack_ms", r.slack(now).Milliseconds(), "left_ms", r.left(now).Milliseconds())
+		r.prefills = 0
+		return append(effects, g.reserve(h, r)...)
+	}
+	return append(effects, g.finish(h, r, g.refusalAfter(r, result))...)
+}
+
+// judge tells the board how an upstream fared.
+func (g *Gateway) judge(h *table.Held, r *request, choice roster.Choice, result runner.Result, ended bool) {
+	now := g.clock.Now()
+	g.board.With(h, func(b **roster.Board) {
+		switch {
+		case result.Reach == runner.Answered && result.Status < 500:
+			(*b).Succeeded(now, choice, g.perEvent(r, now), result.Load)
+		case ended:
+		case result.Refused, result.Misdirected, result.Reach == runner.NotSent:
+			(*b).Down(now, choice)
+		case result.Reach == runner.Rejected:
+			(*b).Full(now, choice)
+		default:
+			(*b).Failed(now, choice)
+		}
+	})
+}
+
+// answered passes on an answer that came whole.
+func (g *Gateway) answered(h *table.Held, r *request, answer runner.Answer, result runner.Result) []pool.Effect {
+	if answer.Header == nil {
+		// A stream was delivered as it came.
+		return g.finish(h, r, nil)
+	}
+	if r.begun {
+		refusal := &contract.Refusal{Code: contract.CodeStreamBroken, Ran: contract.RanYes, Reason: "the stream was not resumed"}
+		return g.finish(h, r, refusal)
+	}
+	return g.deliver(h, r, answer)
+}
+
+// deliver writes a whole answer to the caller, outside of the workers.
+func (g *Gateway) deliver(h *table.Held, r *request, answer runner.Answer) []pool.Effect {
+	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+		r.begun = true
+		r.firstAt = g.clock.Now()
+		err := r.sink.Begin(answer.Status, answer.Header)
+		if err == nil {
+			err = r.sink.Write(answer.Body)
+		}
+		return func(h *table.Held) []pool.Effect {
+			if err != nil {
+				return g.finish(h, r, &contract.Refusal{Code: contract.CodeCanceled, Ran: contract.RanYes, Reason: err.Error()})
+			}
+			return g.finish(h, r, nil)
+		}
+	}}}
+}
+
+// mayGoOn decides whether a request is sent to another upstream.
+func (g *Gateway) mayGoOn(h *table.Held, r *request, result runner.Result) bool {
+	if result.Reach == runner.NotSent {
+		r.attempts--
+		return true
+	}
+	if r.attempts >= r.route.MaxAttempts && result.Reach != runner.Rejected {
+		return false
+	}
+	if r.attempts >= maxSends {
+		return false
+	}
+	if r.begun && r.last == "" {
+		return false
+	}
+	return g.mayRetry(h, r, r.ran)
+}
+
+// maxSends bounds the upstreams to which a request is sent that none runs.
+const maxSends = 4
+
+// mayRetry takes one attempt from the budget of retries.
+func (g *Gateway) mayRetry(h *table.Held, r *request, ran contract.Ran) (allowed bool) {
+	now := g.clock.Now()
+	refusal := &contract.Refusal{Ran: ran}
+	g.retries.With(h, func(b **retry.Budget) { allowed = (*b).Allow(now, refusal, r.route.Repeatable()) })
+	return allowed
+}
+
+// refusalAfter is the refusal of a request whose last attempt failed.
+func (g *Gateway) refusalAfter(r *request, result runner.Result) *contract.Refusal {
+	switch {
+	case r.begun:
+		return &contract.Refusal{Code: contract.CodeStreamBroken, Ran: contract.RanYes, Reason: "the upstream broke off"}
+	case r.ran == contract.RanNo && result.Reach != runner.Broken:
+		return contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "upstreams had no room")
+	default:
+		return &contract.Refusal{Code: contract.CodeUpstreamFailed, Ran: contract.RanUnknown, Reason: "the upstream gave no whole answer"}
+	}
+}
--- /dev/null
+++ b/instance/gateway/suspects.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// checkCrash looks whether an upstream that broke off a call has crashed: a
+// single connection that is reset says nothing of it.
+func (g *Gateway) checkCrash(r *request, choice roster.Choice) []pool.Effect {
+	return []pool.Effect{{Lane: laneCleanup, Perform: func(ctx context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
+		defer cancel()
+		err := g.runners.Reachable(ctx, choice.Target)
+		if err == nil {
+			return nil
+		}
+		return func(h *table.Held) []pool.Effect { return g.crashed(h, r, choice, err) }
+	}}}
+}
+
+// crashed holds a crash against the request that was running.
+func (g *Gateway) crashed(h *table.Held, r *request, choice roster.Choice, err error) []pool.Effect {
+	now := g.clock.Now()
+	var found []contract.Fingerprint
+	g.board.With(h, func(b **roster.Board) { (*b).Down(now, choice) })
+	g.suspects.With(h, func(t **quarantine.Table) {
+		found = (*t).Crashed(now, choice.ID, []contract.Fingerprint{r.fingerprint})
+	})
+	g.log.Info(string(eventCrashed), "request", r.message.ID, "upstream", choice.ID, "address", choice.Addr, "error", err)
+	if len(found) > 0 {
+		g.log.Warn(string(eventQuarantined), "request", r.message.ID, "upstream", choice.ID)
+	}
+	return nil
+}
+
+var _ runner.StreamReceiver = (*delivery)(nil)
--- /dev/null
+++ b/instance/gateway/wait.go
@@ -0,0 +1,155 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+)
+
+// Times of requests that wait for a place at a decode engine.
+const (
+	// AskAgainAfter is the pause between two rounds of asking full engines.
+	AskAgainAfter = 30 * time.Millisecond
+	// FirstEventNeeds is the time from a place to the first event: reading a
+	// long prompt, moving its KV cache and the first step.
+	FirstEventNeeds = 300 * time.Millisecond
+	// MaxWait bounds the wait of a request whose first event is late already.
+	MaxWait = 300 * time.Millisecond
+)
+
+// waitList is the requests of one service that wait for a place, in the order of
+// their arrival. Only the first of them asks engines, so that full engines are
+// asked once and not by everybody.
+type waitList struct {
+	queue []*request
+	// asking says that the first one is being placed, armed that a timer runs.
+	asking, armed bool
+}
+
+// list finds or makes the wait list of a service; its lock is held by the caller.
+func list(lists map[directory.ServiceName]*waitList, service directory.ServiceName) *waitList {
+	l, ok := lists[service]
+	if !ok {
+		l = &waitList{}
+		lists[service] = l
+	}
+	return l
+}
+
+// arrive places a request at once unless others wait before it.
+func (g *Gateway) arrive(h *table.Held, r *request) []pool.Effect {
+	behind := false
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
+		behind = len(list(*lists, r.service).queue) > 0
+	})
+	if behind {
+		return g.park(h, r)
+	}
+	return g.reserve(h, r)
+}
+
+// patience is how long a request may wait for a place.
+func (r *request) patience(now time.Time) time.Duration {
+	wait := r.slack(now) - FirstEventNeeds
+	if r.slack(r.arrived)-FirstEventNeeds <= 0 || r.attempts > 0 {
+		wait = r.arrived.Add(MaxWait).Sub(now)
+	}
+	return min(wait, r.left(now)-FirstEventNeeds)
+}
+
+// park puts a request into its service's wait list, or refuses it if it has
+// waited long enough.
+func (g *Gateway) park(h *table.Held, r *request) []pool.Effect {
+	if refusal := g.stopped(h, r); refusal != nil {
+		return g.finish(h, r, refusal)
+	}
+	now := g.clock.Now()
+	if r.patience(now) <= 0 {
+		return g.finish(h, r, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no decode engine has room"))
+	}
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
+		l := list(*lists, r.service)
+		at, _ := slices.BinarySearchFunc(l.queue, r, func(a, b *request) int { return a.arrived.Compare(b.arrived) })
+		l.queue = slices.Insert(l.queue, at, r)
+		if !l.armed {
+			l.armed = true
+			g.pool.After(AskAgainAfter, func(h *table.Held) []pool.Effect { return g.askAgain(h, r.service) })
+		}
+	})
+	return nil
+}
+
+// unpark takes a request out of its wait list and reports whether it was there.
+func (g *Gateway) unpark(h *table.Held, r *request) (found bool) {
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
+		l := list(*lists, r.service)
+		l.queue = slices.DeleteFunc(l.queue, func(other *request) bool {
+			found = found || other == r
+			return other == r
+		})
+	})
+	return found
+}
+
+// askAgain lets waiting requests try after a pause, and ends those that have
+// waited long enough.
+func (g *Gateway) askAgain(h *table.Held, service directory.ServiceName) []pool.Effect {
+	now := g.clock.Now()
+	var tired []*request
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
+		l := list(*lists, service)
+		l.armed = false
+		l.queue = slices.DeleteFunc(l.queue, func(r *request) bool {
+			if r.patience(now) > 0 && r.ctx.Err() == nil {
+				return false
+			}
+			tired = append(tired, r)
+			return true
+		})
+		if len(l.queue) > 0 {
+			l.armed = true
+			g.pool.After(AskAgainAfter, func(h *table.Held) []pool.Effect { return g.askAgain(h, service) })
+		}
+	})
+	var effects []pool.Effect
+	for _, r := range tired {
+		if refusal := g.stopped(h, r); refusal != nil {
+			effects = append(effects, g.finish(h, r, refusal)...)
+			continue
+		}
+		effects = append(effects, g.finish(h, r, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no decode engine has room"))...)
+	}
+	return append(effects, g.roomFreed(h, service)...)
+}
+
+// roomFreed lets the first waiting request of a service try.
+func (g *Gateway) roomFreed(h *table.Held, service directory.ServiceName) []pool.Effect {
+	var first *request
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
+		l, ok := (*lists)[service]
+		if !ok || l.asking || len(l.queue) == 0 {
+			return
+		}
+		first = l.queue[0]
+		l.queue = slices.Delete(l.queue, 0, 1)
+		l.asking = true
+	})
+	if first == nil {
+		return nil
+	}
+	return g.reserve(h, first)
+}
+
+// asked ends the turn of a waiting request; the next one tries if it got a
+// place.
+func (g *Gateway) asked(h *table.Held, service directory.ServiceName, placed bool) []pool.Effect {
+	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) { list(*lists, service).asking = false })
+	if !placed {
+		return nil
+	}
+	return g.roomFreed(h, service)
+}
--- /dev/null
+++ b/instance/gateway/watch.go
@@ -0,0 +1,219 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+)
+
+// Times of reading the registry.
+const (
+	// WatchFor is how long one watch waits for changes. A watch that went
+	// silent is found within it, so it is a few times the time in which a
+	// change has to be in force.
+	WatchFor = 5 * time.Second
+	// WatchSlack is added for the answer to arrive.
+	WatchSlack = 700 * time.Millisecond
+	// ReadTimeout bounds a read.
+	ReadTimeout = time.Second
+	// ReadAgainAfter is the pause after a failed call: refused calls are paid
+	// for as well, and changes must be seen within two seconds of the return.
+	ReadAgainAfter = 400 * time.Millisecond
+)
+
+// watch starts to read the registry and to hear of peers.
+func (g *Gateway) watch() {
+	for _, step := range []pool.Step{g.readConfig, g.readUpstreams, g.enter, g.tick, g.considerDuty} {
+		g.pool.Resume(step)
+	}
+}
+
+// registryCall makes a blocking call to the registry.
+func registryCall(timeout time.Duration, call func(ctx context.Context) pool.Step) []pool.Effect {
+	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return call(ctx)
+	}}}
+}
+
+// readConfig reads the whole configuration.
+func (g *Gateway) readConfig(*table.Held) []pool.Effect {
+	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
+		configs, err := g.registry.ReadConfig(ctx)
+		return func(h *table.Held) []pool.Effect { return g.configRead(h, configs, err, g.readConfig) }
+	})
+}
+
+// watchConfig waits for the next configuration.
+func (g *Gateway) watchConfig(h *table.Held) []pool.Effect {
+	var seen uint64
+	g.config.With(h, func(c **configuration) { seen = (*c).seen })
+	return registryCall(WatchFor+WatchSlack, func(ctx context.Context) pool.Step {
+		configs, err := g.registry.WatchConfig(ctx, seen, WatchFor)
+		return func(h *table.Held) []pool.Effect { return g.configRead(h, configs, err, g.watchConfig) }
+	})
+}
+
+// configRead takes in what was read and goes on watching; again is what to do
+// after a failure.
+func (g *Gateway) configRead(h *table.Held, configs registry.Configs, err error, again pool.Step) []pool.Effect {
+	if errors.Is(err, registry.ErrHistoryGone) {
+		g.log.Info(string(eventHistoryGone), "what", "configuration")
+		return g.readConfig(h)
+	}
+	g.reached(h, feedConfig, err)
+	if err != nil {
+		g.pool.After(ReadAgainAfter, again)
+		return nil
+	}
+	now := g.clock.Now()
+	g.config.With(h, func(c **configuration) {
+		(*c).seen = max((*c).seen, configs.Version)
+		(*c).at = now
+	})
+	if configs.Newest != nil {
+		g.adopt(h, configs.Newest, "registry")
+	}
+	return g.watchConfig(h)
+}
+
+// adopt puts a configuration in force unless it is older than the one that is.
+func (g *Gateway) adopt(h *table.Held, snapshot *directory.Snapshot, from string) {
+	adopted := false
+	g.config.With(h, func(c **configuration) {
+		if (*c).now == nil || snapshot.Version > (*c).now.Version {
+			(*c).now = snapshot
+			(*c).at = g.clock.Now()
+			adopted = true
+		}
+	})
+	if !adopted {
+		return
+	}
+	g.metrics.setConfig(snapshot.Version)
+	g.log.Info(string(eventConfig), "version", snapshot.Version, "from", from, "hosts", len(snapshot.Hosts),
+		"accounts", len(snapshot.Accounts), "services", len(snapshot.Services))
+	g.becomeReady(h)
+}
+
+// becomeReady opens the process once it knows a configuration and upstreams.
+func (g *Gateway) becomeReady(h *table.Held) {
+	upstreams := 0
+	g.board.With(h, func(b **roster.Board) { upstreams = (*b).Len() })
+	if g.snapshot(h) == nil || upstreams == 0 {
+		return
+	}
+	if g.life.Advance(instance.Serving) {
+		g.log.Info(string(eventServing), "upstreams", upstreams)
+	}
+}
+
+// readUpstreams reads the whole list.
+func (g *Gateway) readUpstreams(*table.Held) []pool.Effect {
+	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
+		list, err := g.registry.ReadUpstreams(ctx)
+		return func(h *table.Held) []pool.Effect { return g.upstreamsRead(h, list, err, g.readUpstreams) }
+	})
+}
+
+// watchUpstreams waits for the next change of the list.
+func (g *Gateway) watchUpstreams(h *table.Held) []pool.Effect {
+	var seen uint64
+	g.members.With(h, func(m **members) { seen = (*m).listed })
+	return registryCall(WatchFor+WatchSlack, func(ctx context.Context) pool.Step {
+		list, err := g.registry.WatchUpstreams(ctx, seen, WatchFor)
+		return func(h *table.Held) []pool.Effect { return g.upstreamsRead(h, list, err, g.watchUpstreams) }
+	})
+}
+
+func (g *Gateway) upstreamsRead(h *table.Held, list registry.Upstreams, err error, again pool.Step) []pool.Effect {
+	if errors.Is(err, registry.ErrHistoryGone) {
+		g.log.Info(string(eventHistoryGone), "what", "upstreams")
+		return g.readUpstreams(h)
+	}
+	g.reached(h, feedUpstreams, err)
+	if err != nil {
+		g.pool.After(ReadAgainAfter, again)
+		return nil
+	}
+	g.list(h, list, "registry")
+	return g.watchUpstreams(h)
+}
+
+// list takes in a change of the list of upstreams, unless a later one is known.
+func (g *Gateway) list(h *table.Held, list registry.Upstreams, from string) {
+	later := false
+	g.members.With(h, func(m **members) {
+		if list.Version >= (*m).listed {
+			(*m).listed = list.Version
+			later = true
+		}
+	})
+	if !later {
+		return
+	}
+	now := g.clock.Now()
+	var changes []roster.Change
+	g.board.With(h, func(b **roster.Board) { changes = (*b).Apply(now, list) })
+	g.logChanges(changes, from, list.Version)
+	g.becomeReady(h)
+}
+
+func (g *Gateway) logChanges(changes []roster.Change, from string, version uint64) {
+	for _, c := range changes {
+		g.log.Info(string(eventUpstream), "upstream", c.ID, "change", c.What, "address", c.Addr, "role", c.Role.String(),
+			"from", from, "list_version", version)
+	}
+}
+
+// feed names what is read from the registry.
+type feed int
+
+const (
+	feedConfig feed = iota
+	feedUpstreams
+	feeds
+)
+
+// reached notes whether the registry answered.
+func (g *Gateway) reached(h *table.Held, f feed, err error) {
+	now := g.clock.Now()
+	var before, after bool
+	g.members.With(h, func(m **members) {
+		before = (*m).away()
+		(*m).feedDown[f] = err != nil
+		if before != (*m).away() || err != nil {
+			(*m).registryAt = now
+		}
+		after = (*m).away()
+	})
+	switch {
+	case after && !before:
+		g.log.Warn(string(eventStoreLost), "error", err)
+		g.board.With(h, func(b **roster.Board) { (*b).Away() })
+	case before && !after:
+		g.log.Info(string(eventStoreBack))
+		g.board.With(h, func(b **roster.Board) { (*b).Back(now) })
+	}
+}
+
+// SweepEvery is the pause between two looks at what lapses by time.
+const SweepEvery = 500 * time.Millisecond
+
+// tick expires what lapsed and tells peers.
+func (g *Gateway) tick(h *table.Held) []pool.Effect {
+	now := g.clock.Now()
+	var changes []roster.Change
+	g.board.With(h, func(b **roster.Board) { changes = (*b).Expire(now) })
+	g.logChanges(changes, "lapse", 0)
+	g.pool.After(SweepEvery, g.tick)
+	return g.tellPeers(h)
+}
--- /dev/null
+++ b/link/settings/gateway.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+)
+
+// Gateway is the settings of a gateway: the process that callers reach in a
+// fleet whose upstreams register themselves.
+type Gateway struct {
+	Where
+	// Callers is the address for callers, as IP number and port; required.
+	Callers string `toml:"callers"`
+	// Readiness is the address that the balancer asks; required.
+	Readiness string `toml:"readiness"`
+	// Peer is the address for other gateways; required.
+	Peer string `toml:"peer"`
+	// Metrics is the address that serves counters as text; required.
+	Metrics string `toml:"metrics"`
+	// Registry is the address of the platform's store; required.
+	Registry string `toml:"registry"`
+	// Peers are the peer addresses of some other gateways, to start from;
+	// default none.
+	Peers []string `toml:"peers"`
+	// Memory is what the process may take in all; required.
+	Memory Size `toml:"memory"`
+	// Workers is the size of the worker pool; default 4.
+	Workers int `toml:"workers"`
+	// Running bounds the requests that are admitted at a time; default 1024.
+	Running int `toml:"running"`
+	// Quota says how accounts are kept within their quotas.
+	Quota GatewayQuota `toml:"quota"`
+	// Lease is how long a duty is held without renewal; default 3s.
+	Lease   Duration       `toml:"lease"`
+	Retries GatewayRetries `toml:"retries"`
+	// ReturnAfter is the wait that a refusal for want of room asks for; default
+	// 2s.
+	ReturnAfter Duration `toml:"return_after"`
+	// ShutdownLimit is the time from SIGTERM to SIGKILL; default 8s.
+	ShutdownLimit Duration `toml:"shutdown_limit"`
+}
+
+// GatewayQuota says how accounts are kept within their quotas.
+type GatewayQuota struct {
+	// Window is the span over which quotas are judged; default 8s.
+	Window Duration `toml:"window"`
+	// Slack is the tokens that an account may use beyond its quota in a window
+	// in the whole fleet; default 0.
+	Slack float64 `toml:"slack"`
+}
+
+// GatewayRetries bound the attempts beyond the first ones, in the whole fleet.
+type GatewayRetries struct {
+	// Share is the retries allowed for each request; default 0.2.
+	Share float64 `toml:"share"`
+	// Slack is the retries allowed in a window at any load; default 50.
+	Slack float64 `toml:"slack"`
+	// Window is the span over which both are judged; default 10s.
+	Window Duration `toml:"window"`
+}
+
+// DefaultGateway gives the settings of a gateway that says nothing.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Workers:       defaultWorkers,
+		Running:       1024,
+		Quota:         GatewayQuota{Window: of(8 * time.Second)},
+		Lease:         of(3 * time.Second),
+		Retries:       GatewayRetries{Share: 0.2, Slack: 50, Window: of(10 * time.Second)},
+		ReturnAfter:   of(2 * time.Second),
+		ShutdownLimit: of(8 * time.Second),
+	}
+}
+
+// LoadGateway reads the settings of a gateway.
+func LoadGateway(path string) (Gateway, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, fmt.Errorf("settings: %w", err)
+	}
+	return DecodeGateway(path, string(text))
+}
+
+// DecodeGateway reads the settings of a gateway from a text; file is named in
+// errors.
+func DecodeGateway(file, text string) (Gateway, error) {
+	s := DefaultGateway()
+	err := decode(file, text, &s, s.check)
+	return s, err
+}
+
+func (s *Gateway) check(c *checker) {
+	s.Where.check(c)
+	c.addr("callers", s.Callers)
+	c.addr("readiness", s.Readiness)
+	c.addr("peer", s.Peer)
+	c.addr("metrics", s.Metrics)
+	c.addr("registry", s.Registry)
+	c.addrs("peers", s.Peers)
+	c.size("memory", s.Memory, 16<<20, 1<<40)
+	between(c, "workers", s.Workers, 1, mostWorkers)
+	between(c, "running", s.Running, 1, 100_000)
+	c.duration("quota.window", s.Quota.Window, time.Second, time.Hour)
+	between(c, "quota.slack", s.Quota.Slack, 0, 1e12)
+	c.duration("lease", s.Lease, 100*time.Millisecond, time.Minute)
+	between(c, "retries.share", s.Retries.Share, 0, 1)
+	between(c, "retries.slack", s.Retries.Slack, 0, 100_000)
+	c.duration("retries.window", s.Retries.Window, time.Second, time.Hour)
+	c.duration("return_after", s.ReturnAfter, 100*time.Millisecond, time.Minute)
+	c.duration("shutdown_limit", s.ShutdownLimit, time.Second, time.Hour)
+}
--- a/link/settings/page_test.go
+++ b/link/settings/page_test.go
@@ -24,6 +24,7 @@
 		"is made from the comments of `link/settings`; a test keeps the two equal.\n")
 	p.program("trefoil-entry", "Entry")
 	p.program("trefoil-sidecar", "Sidecar")
+	p.program("trefoil-gateway", "Gateway")
 	p.program("trefoil-burn", "Burn")
 	if os.Getenv("UPDATE_PAGE") != "" {
 		if err := os.WriteFile(page, []byte(p.text.String()), 0o644); err != nil {
@@ -48,7 +49,7 @@
 func readComments(t *testing.T) *comments {
 	t.Helper()
 	c := &comments{structs: make(map[string]*ast.StructType)}
-	for _, name := range []string{"burn.go", "common.go", "entry.go", "listener.go", "sidecar.go"} {
+	for _, name := range []string{"burn.go", "common.go", "entry.go", "gateway.go", "listener.go", "sidecar.go"} {
 		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/upstream/roster/choose.go
@@ -0,0 +1,179 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/health"
+	"github.com/trefoilwalk/trefoilwalk/zone"
+)
+
+// Need is what a request asks for.
+type Need struct {
+	Service directory.ServiceName
+	Role    upstream.Role
+	// Near is the zone that is best at equal load.
+	Near zone.AvailabilityZone
+	// Exclude are upstreams that failed the request.
+	Exclude []upstream.ID
+}
+
+// Choice is one upstream to try.
+type Choice struct {
+	runner.Target
+	Zone zone.AvailabilityZone
+	Born int64
+	// Calls and Tokens are what this process had running there.
+	Calls  int
+	Tokens contract.Tokens
+}
+
+// Tokens by which an upstream in another zone may be less loaded and still come
+// second: about the price of moving a prompt's KV cache between zones.
+const farTokens = 1500
+
+// farCalls is the same for upstreams that count calls.
+const farCalls = 0.25
+
+// scored is an upstream and what speaks against it.
+type scored struct {
+	upstream *Upstream
+	// class 0 is sound, 1 is full or slow, 2 was ejected.
+	class int
+	cost  float64
+	tie   uint64
+}
+
+// Choose gives the upstreams to try, the best first. Ejected and full ones come
+// last, since their state may be out of date; those that take no connection and
+// those that leave are left out.
+func (b *Board) Choose(now time.Time, need Need) []Choice {
+	var list []scored
+	for _, u := range b.upstreams {
+		if u.Service != need.Service || u.Role != need.Role || u.Draining {
+			continue
+		}
+		if now.Before(u.downUntil) || slices.Contains(need.Exclude, u.ID) {
+			continue
+		}
+		b.turn = b.turn*6364136223846793005 + 1442695040888963407
+		list = append(list, scored{u, u.class(now), u.cost(now, need), b.turn >> 32})
+	}
+	slices.SortFunc(list, func(x, y scored) int {
+		return cmp.Or(cmp.Compare(x.class, y.class), cmp.Compare(x.cost, y.cost), cmp.Compare(x.tie, y.tie))
+	})
+	choices := make([]Choice, len(list))
+	for i, s := range list {
+		u := s.upstream
+		choices[i] = Choice{runner.Target{ID: u.ID, Addr: u.Addr}, u.Zone, u.Born, u.calls, u.tokens}
+	}
+	return choices
+}
+
+func (u *Upstream) class(now time.Time) int {
+	switch u.health.Verdict(now) {
+	case health.Ejected:
+		return 2
+	case health.Probing:
+		return 0
+	}
+	if now.Before(u.fullUntil) {
+		return 1
+	}
+	return 0
+}
+
+// loadFresh is the age up to which an upstream's own count of its work says more
+// than this process's share of it.
+const loadFresh = 300 * time.Millisecond
+
+// cost is what speaks against an upstream: the work that it has.
+func (u *Upstream) cost(now time.Time, need Need) float64 {
+	far := need.Near != "" && need.Near != u.Zone
+	if u.Role == upstream.RoleService {
+		calls := float64(u.calls)
+		if u.load.Known && now.Sub(u.loadAt) < loadFresh {
+			calls = max(calls, float64(u.load.Running+u.load.Waiting))
+		}
+		if far {
+			calls += farCalls
+		}
+		return calls
+	}
+	tokens := float64(u.tokens)
+	if far {
+		tokens += farTokens
+	}
+	return tokens
+}
+
+// find gives the row of a choice, unless the upstream has restarted since.
+func (b *Board) find(c Choice) *Upstream {
+	u, ok := b.upstreams[c.ID]
+	if !ok || u.Born != c.Born {
+		return nil
+	}
+	return u
+}
+
+// Took notes work that was sent to an upstream.
+func (b *Board) Took(c Choice, tokens contract.Tokens) {
+	if u := b.find(c); u != nil {
+		u.calls++
+		u.tokens += tokens
+	}
+}
+
+// Freed notes that the work is over.
+func (b *Board) Freed(c Choice, tokens contract.Tokens) {
+	if u := b.find(c); u != nil {
+		u.calls = max(0, u.calls-1)
+		u.tokens = max(0, u.tokens-tokens)
+	}
+}
+
+// Probe notes that a request is sent to an upstream that may be ejected.
+func (b *Board) Probe(now time.Time, c Choice) {
+	if u := b.find(c); u != nil && u.health.Verdict(now) == health.Probing {
+		u.health.Probe(now)
+	}
+}
+
+// Full notes that an upstream refused for want of room.
+func (b *Board) Full(now time.Time, c Choice) {
+	if u := b.find(c); u != nil {
+		u.fullUntil = now.Add(FullFor)
+	}
+}
+
+// Down notes that an upstream takes no connection, or is another one now.
+func (b *Board) Down(now time.Time, c Choice) {
+	if u := b.find(c); u != nil {
+		u.downUntil = now.Add(DownFor)
+	}
+}
+
+// Failed notes a failure of an upstream.
+func (b *Board) Failed(now time.Time, c Choice) {
+	if u := b.find(c); u != nil {
+		u.health.Failed(now)
+	}
+}
+
+// Succeeded notes an answer and how long it took.
+func (b *Board) Succeeded(now time.Time, c Choice, took time.Duration, load runner.Load) {
+	u := b.find(c)
+	if u == nil {
+		return
+	}
+	u.health.Succeeded(now, took)
+	if load.Known {
+		u.load = load
+		u.loadAt = now
+	}
+}
