--- a/instance/gateway/duty.go
+++ b/instance/gateway/duty.go
@@ -1,11 +1,189 @@
 package gateway
 
 import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+	"github.com/trefoilwalk/trefoilwalk/upstream/split"
+)
+
+// Times of the duty to order roles.
+const (
+	// DutyEvery is the pause between two looks at the roles.
+	DutyEvery = 500 * time.Millisecond
+	// SettleTime is how long a need must last: upstreams that restart and lists
+	// that are still coming in are no reason to order anything.
+	SettleTime = 1500 * time.Millisecond
+	// YieldTime is how much longer each process waits than the one before it
+	// in the order of names, so that mostly one of them asks for the lease.
+	YieldTime = 1500 * time.Millisecond
+	// OrderTimeout bounds one order.
+	OrderTimeout = 500 * time.Millisecond
+	// OrderAgainAfter is the least time between two orders to one engine. An
+	// order without an answer may still be carried out after many seconds.
+	OrderAgainAfter = 13 * time.Second
 )
 
-// duty is the work that one process of the fleet does for all.
-type duty struct{}
+// dutyRoles names the lease of ordering roles.
+const dutyRoles = "roles"
+
+// duty is what the process knows of ordering roles, which one process of the
+// fleet does for all.
+type duty struct {
+	// needed is since when roles should change, zero if they need not.
+	needed time.Time
+	// busy says that the lease is being taken or orders are on their way.
+	busy bool
+	// ordered is when engines were last ordered by this process.
+	ordered map[string]time.Time
+}
+
+// considerDuty looks whether engines should change their roles.
+func (g *Gateway) considerDuty(h *table.Held) []pool.Effect {
+	g.pool.After(DutyEvery, g.considerDuty)
+	if g.life.State() != instance.Serving {
+		return nil
+	}
+	now := g.clock.Now()
+	changes := g.planRoles(h)
+	rank := g.rank(h, now)
+	start := false
+	g.duty.With(h, func(d **duty) {
+		switch {
+		case len(changes) == 0:
+			(*d).needed = time.Time{}
+		case (*d).needed.IsZero():
+			(*d).needed = now
+		case !(*d).busy && now.Sub((*d).needed) >= SettleTime+time.Duration(rank)*YieldTime:
+			changes = (*d).due(now, changes)
+			start = len(changes) > 0
+			(*d).busy = start
+		}
+	})
+	if !start {
+		return nil
+	}
+	return g.takeLease(changes)
+}
+
+// due leaves out engines that were ordered lately.
+func (d *duty) due(now time.Time, changes []split.Change) []split.Change {
+	var out []split.Change
+	for _, c := range changes {
+		if at, ok := d.ordered[string(c.ID)]; !ok || now.Sub(at) >= OrderAgainAfter {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// planRoles gives the changes that engines need now.
+func (g *Gateway) planRoles(h *table.Held) []split.Change {
+	snapshot := g.snapshot(h)
+	if snapshot == nil {
+		return nil
+	}
+	var changes []split.Change
+	for name, service := range snapshot.Services {
+		if service.Engine == nil {
+			continue
+		}
+		var engines []split.Engine
+		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(name) })
+		changes = append(changes, split.Plan(engines, split.DefaultPrefillShare)...)
+	}
+	return changes
+}
+
+// rank is this process's place among those that were heard lately, by name.
+func (g *Gateway) rank(h *table.Held, now time.Time) int {
+	rank := 0
+	g.members.With(h, func(m **members) {
+		for _, p := range (*m).known(now) {
+			if p.Name < (*m).self.Name {
+				rank++
+			}
+		}
+	})
+	return rank
+}
+
+// takeLease asks for the lease, unless another process has held it lately.
+func (g *Gateway) takeLease(changes []split.Change) []pool.Effect {
+	holder := string(g.options.Self.Name)
+	return registryCall(2*ReadTimeout, func(ctx context.Context) pool.Step {
+		lease, _, err := g.registry.ReadLease(ctx, dutyRoles)
+		if err != nil {
+			return func(h *table.Held) []pool.Effect { return g.dutyOver(h, "lease not read", err) }
+		}
+		if lease.Holder != holder && lease.Holder != "" && lease.Age < g.options.LeaseTerm+ReadTimeout {
+			return func(h *table.Held) []pool.Effect { return g.dutyOver(h, "held by "+lease.Holder, nil) }
+		}
+		asked := g.clock.Now()
+		fencing, err := g.registry.WriteLease(ctx, dutyRoles, lease, holder)
+		if err != nil {
+			return func(h *table.Held) []pool.Effect { return g.dutyOver(h, "lease not written", err) }
+		}
+		return func(h *table.Held) []pool.Effect { return g.order(h, changes, fencing, asked) }
+	})
+}
+
+// dutyOver ends a turn.
+func (g *Gateway) dutyOver(h *table.Held, why string, err error) []pool.Effect {
+	g.duty.With(h, func(d **duty) {
+		(*d).busy = false
+		(*d).needed = g.clock.Now()
+	})
+	if err != nil && !errors.Is(err, registry.ErrConflict) {
+		g.log.Warn(string(eventDutyLost), "duty", dutyRoles, "why", why, "error", err)
+	} else if err != nil || why != "" {
+		g.log.Info(string(eventDutyLost), "duty", dutyRoles, "why", why, "error", err)
+	}
+	return nil
+}
+
+// order sends the orders, as long as the lease surely stands.
+func (g *Gateway) order(h *table.Held, changes []split.Change, fencing uint64, asked time.Time) []pool.Effect {
+	now := g.clock.Now()
+	g.log.Info(string(eventDutyTaken), "duty", dutyRoles, "fencing", fencing, "orders", len(changes))
+	g.duty.With(h, func(d **duty) {
+		if (*d).ordered == nil {
+			(*d).ordered = make(map[string]time.Time)
+		}
+		for _, c := range changes {
+			(*d).ordered[string(c.ID)] = now
+		}
+	})
+	until := asked.Add(g.options.LeaseTerm / 2)
+	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
+		for _, c := range changes {
+			if !g.clock.Now().Before(until) {
+				return func(h *table.Held) []pool.Effect { return g.dutyOver(h, "lease ran out", nil) }
+			}
+			if stale := g.orderOne(ctx, c, fencing); stale {
+				break
+			}
+		}
+		return func(h *table.Held) []pool.Effect { return g.dutyOver(h, "", nil) }
+	}}}
+}
 
-func (g *Gateway) considerDuty(*table.Held) []pool.Effect { return nil }
+// orderOne sends one order and reports whether a higher fencing number is known
+// at the engine.
+func (g *Gateway) orderOne(ctx context.Context, c split.Change, fencing uint64) (stale bool) {
+	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
+	defer cancel()
+	result := g.runners.SetRole(ctx, runner.Target{ID: c.ID, Addr: c.Addr}, runner.RoleOrder{
+		Role: c.To, Holder: string(g.options.Self.Name), Fencing: fencing, Sequence: c.Sequence,
+	})
+	g.log.Info(string(eventRoleOrdered), "upstream", c.ID, "from", c.Role.String(), "to", c.To.String(), "fencing", fencing,
+		"sequence", c.Sequence, "reach", result.Reach.String(), "status", result.Status, "error", result.Err)
+	return result.Stale
+}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -85,7 +85,9 @@
 	log      hclog.Logger
 	metrics  *Metrics
 	life     instance.LifeCycle
-	pool     *pool.Pool
+	// closed refuses new requests while running ones end.
+	closed atomic.Bool
+	pool   *pool.Pool
 	// ctx ends with the process.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -181,6 +183,11 @@
 	g.log.Info(string(eventDraining), "running", g.running.Load())
 }
 
+// StopTaking refuses new requests from now on.
+func (g *Gateway) StopTaking() {
+	g.closed.Store(true)
+}
+
 // Running counts the requests that have not ended.
 func (g *Gateway) Running() int {
 	return int(g.running.Load())
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -7,7 +7,6 @@
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
-	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
@@ -76,7 +75,10 @@
 	refuse := func(refusal *contract.Refusal) (*request, *contract.Refusal) {
 		return nil, g.refuse(m, snapshot.Version, refusal)
 	}
-	if g.life.State() == instance.Gone || g.running.Load() >= int64(g.options.MaxRequests) {
+	if g.closed.Load() {
+		return refuse(contract.RefuseRepeat(contract.CodeDraining, minReturn, "the process is shutting down"))
+	}
+	if g.running.Load() >= int64(g.options.MaxRequests) {
 		return refuse(contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
 	}
 	route := snapshot.Route(m.Host, m.Path)
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -66,8 +66,10 @@
 type Lease struct {
 	Holder  string
 	Fencing uint64
-	// State is what the holder leaves to the next one.
-	State string
+	// ReadAt is the registry's clock when it was read.
+	ReadAt time.Duration
+	// Age is the time since it was written, by the registry's clock.
+	Age time.Duration
 }
 
 // Entry is another process of the system.
@@ -88,9 +90,9 @@
 	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (Configs, error)
 	// ReadLease gives a lease; ok is false if nobody ever held it.
 	ReadLease(ctx context.Context, name string) (lease Lease, ok bool, err error)
-	// WriteLease writes a lease that is still at the fencing number known (0
-	// if it was never held) and gives the new number.
-	WriteLease(ctx context.Context, name string, known uint64, holder, state string) (fencing uint64, err error)
+	// WriteLease writes a lease that is still as it was read and gives the new
+	// fencing number.
+	WriteLease(ctx context.Context, name string, read Lease, holder string) (fencing uint64, err error)
 	// Enter adds this process to the list of entries.
 	Enter(ctx context.Context, self Entry) error
 	// Entries gives all processes that entered.
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -54,9 +54,9 @@
 	Misdirected bool
 	// Refused means that nobody listens at the address.
 	Refused bool
-	// Leaving means that the upstream announced that it closes.
-	Leaving bool
-	Err     error
+	// Stale means that an order's fencing number is lower than one already seen.
+	Stale bool
+	Err   error
 }
 
 // Options are what the system adds to a message.
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -15,6 +15,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/health"
+	"github.com/trefoilwalk/trefoilwalk/upstream/split"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -209,17 +210,6 @@
 	return len(b.upstreams)
 }
 
-// Count counts the upstreams of a service that have a role and take work.
-func (b *Board) Count(service directory.ServiceName, role upstream.Role) int {
-	n := 0
-	for _, u := range b.upstreams {
-		if u.Service == service && u.Role == role && !u.Draining {
-			n++
-		}
-	}
-	return n
-}
-
 // List gives all upstreams as they registered, known up to a version of the
 // registry.
 func (b *Board) List(version uint64) registry.Upstreams {
@@ -231,3 +221,15 @@
 	}
 	return list
 }
+
+// Engines lists the engines of a service that take work.
+func (b *Board) Engines(service directory.ServiceName) []split.Engine {
+	var out []split.Engine
+	for _, u := range b.upstreams {
+		if u.Service != service || u.Role == upstream.RoleService || u.Draining || !u.lapsedAt.IsZero() {
+			continue
+		}
+		out = append(out, split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role, Sequence: u.Sequence})
+	}
+	return out
+}
