Give each gateway a part of what may wait at prefill engines

A gateway now sends only its part of a backlog of 400 ms, and the floor of retries is divided between the gateways that are there. Orders carry the engine's own count from its report; the count in a registration is that of its heartbeats.

--- a/instance/gateway/duty.go
+++ b/instance/gateway/duty.go
@@ -97,7 +97,7 @@
 		}
 		var engines []split.Engine
 		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(name) })
-		changes = append(changes, split.Plan(engines, split.DefaultPrefillShare)...)
+		changes = append(changes, split.Plan(engines, split.Share(split.DefaultDemand, service.Engine.KVTokens))...)
 	}
 	return changes
 }
@@ -176,14 +176,23 @@
 }
 
 // orderOne sends one order and reports whether a higher fencing number is known
-// at the engine.
+// at the engine. The engine's own count of orders keeps an order that is carried
+// out late from undoing a newer one.
 func (g *Gateway) orderOne(ctx context.Context, c split.Change, fencing uint64) (stale bool) {
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
-	result := g.runners.SetRole(ctx, runner.Target{ID: c.ID, Addr: c.Addr}, runner.RoleOrder{
-		Role: c.To, Holder: string(g.options.Self.Name), Fencing: fencing, Sequence: c.Sequence,
-	})
+	to := runner.Target{ID: c.ID, Addr: c.Addr}
+	report, result := g.runners.Report(ctx, to)
+	switch {
+	case result.Reach != runner.Answered:
+	case report.Busy || report.Role == c.To:
+		return false
+	default:
+		result = g.runners.SetRole(ctx, to, runner.RoleOrder{
+			Role: c.To, Holder: string(g.options.Self.Name), Fencing: fencing, Orders: report.Orders,
+		})
+	}
 	g.log.Info(string(eventRoleOrdered), "upstream", c.ID, "from", c.Role.String(), "to", c.To.String(), "fencing", fencing,
-		"sequence", c.Sequence, "reach", result.Reach.String(), "status", result.Status, "error", result.Err)
+		"orders", report.Orders, "reach", result.Reach.String(), "status", result.Status, "error", result.Err)
 	return result.Stale
 }
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -92,6 +92,12 @@
 	return lost
 }
 
+// processes counts the gateways that were heard lately, this one among them.
+func (g *Gateway) processes(h *table.Held, now time.Time) (n int) {
+	g.members.With(h, func(m **members) { n = len((*m).known(now)) + 1 })
+	return n
+}
+
 // known lists the peers that were heard lately.
 func (m *members) known(now time.Time) []relay.Peer {
 	var out []relay.Peer
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -37,6 +37,12 @@
 		return append(g.finish(h, r, refusal), g.asked(h, r.service, true)...)
 	}
 	now := g.clock.Now()
+	processes := g.processes(h, now)
+	may := false
+	g.board.With(h, func(b **roster.Board) { may = (*b).MayRead(r.service, r.message.Prompt, processes) })
+	if !may {
+		return append(g.asked(h, r.service, false), g.park(h, r)...)
+	}
 	choices := g.choose(h, now, r, upstream.RoleDecode, nil)
 	if len(choices) > MaxAsks {
 		choices = choices[:MaxAsks]
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -63,6 +63,7 @@
 		case result.Reach == runner.Answered:
 			took := now.Sub(r.prefillAt) * prefillUnit / time.Duration(max(prompt, prefillUnit))
 			(*b).Succeeded(now, choice, took, result.Load)
+			(*b).Read(prompt, now.Sub(r.prefillAt))
 		case ended:
 		case result.Refused, result.Misdirected, result.Reach == runner.NotSent:
 			(*b).Down(now, choice)
@@ -75,13 +76,13 @@
 	if result.Reach == runner.Answered {
 		g.log.Info(string(eventPrefilled), "request", r.message.ID, "upstream", choice.ID, "tokens", prompt,
 			"took_ms", now.Sub(r.prefillAt).Milliseconds(), "held_tokens", choice.Tokens)
-		return g.stream(h, r, handle)
+		return append(g.stream(h, r, handle), g.roomFreed(h, r.service)...)
 	}
 	g.logAttempt(r, "prefill", choice, result)
 	r.failed(choice.ID)
-	var effects []pool.Effect
+	effects := g.roomFreed(h, r.service)
 	if result.Reach == runner.Broken && !ended {
-		effects = g.checkCrash(r, choice)
+		effects = append(effects, g.checkCrash(r, choice)...)
 	}
 	if r.prefills < MaxPrefills && !g.mayRetry(h, r, contract.RanNo) {
 		return append(effects, g.stream(h, r, runner.Handle{})...)
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -37,8 +37,6 @@
 	Draining bool
 	// Warmup is how much longer the upstream stays slow after its start.
 	Warmup time.Duration
-	// Sequence counts the orders that it accepted.
-	Sequence uint64
 	// Born tells two runs of one upstream apart.
 	Born int64
 }
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -117,18 +117,31 @@
 	// Stream sends a message whose answer is a stream. An answer that is no
 	// stream comes back whole.
 	Stream(ctx context.Context, to Target, m *contract.Message, o Options, sink StreamReceiver) (Answer, Result)
+	// Report asks an engine for its state.
+	Report(ctx context.Context, to Target) (Report, Result)
 	// SetRole orders an engine to change its role.
 	SetRole(ctx context.Context, to Target, order RoleOrder) Result
 	// Reachable reports whether the upstream still takes connections.
 	Reachable(ctx context.Context, to Target) error
 }
 
+// Report is an engine's own account of its state, as of some hundred
+// milliseconds ago.
+type Report struct {
+	Role upstream.Role
+	// Busy means that an order is being carried out.
+	Busy bool
+	// Orders counts the orders that it accepted since its start.
+	Orders uint64
+}
+
 // RoleOrder orders a change of role. Of two orders the one with the higher
 // fencing number stands.
 type RoleOrder struct {
 	Role    upstream.Role
 	Holder  string
 	Fencing uint64
-	// Sequence is the count of orders at which this one may be carried out.
-	Sequence uint64
+	// Orders is the count of accepted orders at which this one may be carried
+	// out.
+	Orders uint64
 }
--- a/upstream/retry/retry.go
+++ b/upstream/retry/retry.go
@@ -33,6 +33,8 @@
 	// saved comes from first attempts, floor from the passing of time.
 	saved, floor float64
 	at           time.Time
+	// among is the number of processes that share the floor.
+	among float64
 }
 
 // NewBudget returns a budget whose floor is full.
@@ -50,7 +52,13 @@
 			*d.field = d.value
 		}
 	}
-	return &Budget{options: o, floor: o.FloorBurst}
+	return &Budget{options: o, floor: o.FloorBurst, among: 1}
+}
+
+// Among divides the floor between a number of processes.
+func (b *Budget) Among(processes int) {
+	b.among = float64(max(1, processes))
+	b.floor = min(b.floor, b.options.FloorBurst/b.among)
 }
 
 // First records a first attempt.
@@ -80,8 +88,8 @@
 // refill adds what the floor earned since the last call.
 func (b *Budget) refill(now time.Time) {
 	if !b.at.IsZero() && now.After(b.at) {
-		earned := now.Sub(b.at).Seconds() * b.options.FloorPerSecond
-		b.floor = min(b.options.FloorBurst, b.floor+earned)
+		earned := now.Sub(b.at).Seconds() * b.options.FloorPerSecond / b.among
+		b.floor = min(max(1, b.options.FloorBurst/b.among), b.floor+earned)
 	}
 	if b.at.Before(now) {
 		b.at = now
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -177,3 +177,42 @@
 		u.loadAt = now
 	}
 }
+
+// PrefillBacklog is the work that may wait at a prefill engine, as the time to
+// read it. Prompts that wait longer outlast the reservation of their decode
+// place, upon which engines grant the same memory twice.
+const PrefillBacklog = 400 * time.Millisecond
+
+// rateDecay lets the fastest reading seen fade, so that a fleet whose engines
+// turn slow is noticed within some hundred prompts.
+const rateDecay = 0.995
+
+// leastPrompt is the prompt from which on a reading says how fast engines are:
+// shorter ones are mostly overhead.
+const leastPrompt = 500
+
+// Read notes how long an engine took for a prompt.
+func (b *Board) Read(prompt contract.Tokens, took time.Duration) {
+	if prompt < leastPrompt || took <= 0 {
+		return
+	}
+	b.readRate = max(float64(prompt)/took.Seconds(), b.readRate*rateDecay)
+}
+
+// MayRead reports whether one of a number of processes may send another prompt
+// to the prefill engines of a service: each has an even part of what may wait
+// there in all. One prompt at a time is always allowed.
+func (b *Board) MayRead(service directory.ServiceName, prompt contract.Tokens, processes int) bool {
+	engines, sent := 0, contract.Tokens(0)
+	for _, u := range b.upstreams {
+		if u.Service == service && u.Role == upstream.RolePrefill {
+			engines++
+			sent += u.tokens
+		}
+	}
+	if sent == 0 {
+		return true
+	}
+	all := PrefillBacklog.Seconds() * b.readRate * float64(engines)
+	return float64(sent+prompt) <= all/float64(max(1, processes))
+}
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -29,6 +29,9 @@
 	// LapseGrace is how long an upstream whose registration ended while the
 	// registry was away is kept after its return; live ones are back by then.
 	LapseGrace = 2 * time.Second
+	// LapseNotice is how long after the registry's return registrations that
+	// ended while it was away are still found. What ends later has left.
+	LapseNotice = 300 * time.Millisecond
 )
 
 // Failures in a row that eject an upstream: plain services fail some calls by
@@ -61,9 +64,12 @@
 	place     zone.Place
 	upstreams map[upstream.ID]*Upstream
 	groups    map[group]*health.Group
-	// awayUntil is the end of the grace after the registry's last absence.
-	awayUntil time.Time
-	away      bool
+	// away says that the registry cannot be read, backAt when it last came back.
+	away   bool
+	backAt time.Time
+	// readRate is the fastest reading of a prompt seen lately, in tokens a
+	// second.
+	readRate float64
 	// turn breaks ties between equal upstreams.
 	turn uint64
 }
@@ -74,6 +80,7 @@
 		place:     place,
 		upstreams: make(map[upstream.ID]*Upstream),
 		groups:    make(map[group]*health.Group),
+		readRate:  split.DefaultDemand.ReadRate(),
 	}
 }
 
@@ -94,7 +101,7 @@
 func (b *Board) Back(now time.Time) {
 	if b.away {
 		b.away = false
-		b.awayUntil = now.Add(LapseGrace)
+		b.backAt = now
 	}
 }
 
@@ -171,7 +178,7 @@
 	if !ok {
 		return changes
 	}
-	if b.lapsing(now) && !u.Draining {
+	if !u.Draining && (b.away || now.Before(b.backAt.Add(LapseNotice))) {
 		if u.lapsedAt.IsZero() {
 			u.lapsedAt = now
 			changes = append(changes, Change{id, "lapsed", u.Addr, u.Role})
@@ -187,13 +194,9 @@
 	return append(changes, Change{u.ID, "gone", u.Addr, u.Role})
 }
 
-func (b *Board) lapsing(now time.Time) bool {
-	return b.away || now.Before(b.awayUntil)
-}
-
 // Expire removes upstreams whose registration lapsed and did not come back.
 func (b *Board) Expire(now time.Time) []Change {
-	if b.lapsing(now) {
+	if b.away || now.Before(b.backAt.Add(LapseGrace)) {
 		return nil
 	}
 	var changes []Change
@@ -229,7 +232,7 @@
 		if u.Service != service || u.Role == upstream.RoleService || u.Draining || !u.lapsedAt.IsZero() {
 			continue
 		}
-		out = append(out, split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role, Sequence: u.Sequence})
+		out = append(out, split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role})
 	}
 	return out
 }
--- a/upstream/split/split.go
+++ b/upstream/split/split.go
@@ -6,15 +6,43 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
-// DefaultPrefillShare is the part of the engines that reads prompts. Memory at
-// decode engines is what runs out first with prompts of some thousand tokens and
-// answers of about a thousand; docs/MEASUREMENTS.md has the shares compared.
-const DefaultPrefillShare = 0.25
+// Demand is what a usual request asks of engines.
+type Demand struct {
+	// Prompt and Output are its size; both are held at a decode engine.
+	Prompt, Output contract.Tokens
+	// Prefill is the time for which it occupies a prefill engine alone, Decode
+	// the time for which it is one of many at a decode engine.
+	Prefill, Decode time.Duration
+}
+
+// DefaultDemand is a prompt of 3,200 tokens and an output of 900, with the times
+// that docs/MEASUREMENTS.md gives for them.
+var DefaultDemand = Demand{Prompt: 3200, Output: 900, Prefill: 110 * time.Millisecond, Decode: 3500 * time.Millisecond}
+
+// ReadRate is the speed at which one engine reads prompts, in tokens a second.
+func (d Demand) ReadRate() float64 {
+	return float64(d.Prompt) / d.Prefill.Seconds()
+}
+
+// headroom is how much more prompts can be read than outputs made: a prefill
+// engine serves one prompt at a time, and those that wait hold reservations.
+const headroom = 1.25
+
+// Share gives the part of the engines that should read prompts: memory at decode
+// engines and time at prefill engines run out at the same rate of requests.
+func Share(d Demand, memory contract.Tokens) float64 {
+	held := float64(memory) / float64(max(1, d.Prompt+d.Output))
+	decodeEngines := d.Decode.Seconds() / max(1, held)
+	prefillEngines := d.Prefill.Seconds() * headroom
+	return prefillEngines / (prefillEngines + decodeEngines)
+}
 
 // Engine is one engine that takes work.
 type Engine struct {
@@ -22,8 +50,6 @@
 	Addr string
 	Zone zone.AvailabilityZone
 	Role upstream.Role
-	// Sequence counts the orders that it accepted.
-	Sequence uint64
 }
 
 // Change turns one engine to another role.
--- a/upstream/split/split_test.go
+++ b/upstream/split/split_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
+	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
@@ -68,3 +70,24 @@
 		t.Errorf("%v does not come from %s", changes, list[0].Zone)
 	}
 }
+
+func TestShare(t *testing.T) {
+	cases := []struct {
+		memory  contract.Tokens
+		engines int
+		want    int
+	}{
+		{42_786, 9, 3},
+		{38_202, 12, 3},
+		{30_307, 47, 11},
+	}
+	for _, c := range cases {
+		got := int(math.Round(Share(DefaultDemand, c.memory) * float64(c.engines)))
+		if got != c.want {
+			t.Errorf("%d engines of %d tokens: %d read prompts, want %d", c.engines, c.memory, got, c.want)
+		}
+	}
+	if more, less := Share(DefaultDemand, 80_000), Share(DefaultDemand, 20_000); more <= less {
+		t.Errorf("share %v with much memory, %v with little", more, less)
+	}
+}
