--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -57,7 +57,7 @@
 	g.metrics.ended(r, refusal, now)
 	args := []any{
 		"request", r.message.ID, "route", r.route.Name, "account", r.accountID(), "took_ms", took.Milliseconds(),
-		"attempts", r.attempts, "prefills", r.prefills, "events", r.events, "ran", r.ran.String(), "config", r.version,
+		"attempts", r.attempts, "reads", r.reads, "events", r.events, "ran", r.ran.String(), "config", r.version,
 	}
 	if !r.firstAt.IsZero() {
 		args = append(args, "first_ms", r.firstAt.Sub(r.arrived).Milliseconds())
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -28,7 +28,7 @@
 	}
 	now := g.clock.Now()
 	choices := g.choose(h, now, r, upstream.RolePrefill, r.place)
-	if len(choices) == 0 || r.prefills >= MaxPrefills {
+	if len(choices) == 0 || r.prefills >= MaxPrefills || r.reads > 0 && !g.mayRetry(h, r, contract.RanNo) {
 		return g.stream(h, r, runner.Handle{})
 	}
 	choice := choices[0]
@@ -38,6 +38,7 @@
 		(*b).Probe(now, choice)
 	})
 	r.prefills++
+	r.reads++
 	r.prefillAt = now
 	options := r.options(now)
 	options.Reservation = ""
@@ -84,8 +85,5 @@
 	if result.Reach == runner.Broken && !ended {
 		effects = append(effects, g.checkCrash(r, choice)...)
 	}
-	if r.prefills < MaxPrefills && !g.mayRetry(h, r, contract.RanNo) {
-		return append(effects, g.stream(h, r, runner.Handle{})...)
-	}
 	return append(effects, g.prefill(h, r)...)
 }
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -43,10 +43,11 @@
 	reservation string
 	held        contract.Tokens
 	// attempts counts the upstreams to which the request was sent, ran says
-	// what is known of them, prefills counts the readings of the prompt.
-	attempts, prefills int
-	ran                contract.Ran
-	exclude            []upstream.ID
+	// what is known of them. prefills counts the readings of the prompt for the
+	// current place, reads all of them.
+	attempts, prefills, reads int
+	ran                       contract.Ran
+	exclude                   []upstream.ID
 
 	// saved is a failure that an upstream answered, for want of anything better.
 	saved *runner.Answer
