--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -29,7 +29,7 @@
 var carriers = []string{
 	"./link/caller", "./link/operator", "./link/settings", "./link/peer/rpc",
 	"./link/platform/rest", "./link/upstream/engineapi", "./link/upstream/serviceapi",
-	"./internal", "./cmd",
+	"./link/relay/relayrpc", "./link/httpconn", "./internal", "./cmd",
 }
 
 // Rules are the rules of the module. Decisions import no encoding, so that
@@ -42,7 +42,20 @@
 	{"upstream", carriers, nil, "decisions about upstreams do not know how orders are carried"},
 	{"instance", encodings, sockets, "the processes' decisions import no encoding"},
 	{"instance", carriers, nil, "the processes' decisions know interfaces, not what carries them"},
-	{"link", []string{"./internal/process", "./internal/fleet", "./cmd", "./instance/entry", "./instance/sidecar"}, nil, "links know the interfaces of the processes, not the processes"},
+	{"instance/gateway", []string{"./instance/entry", "./instance/sidecar", "./link/platform", "./link/peer", "./link/upstream"}, nil, "the gateway shares no links with the entry"},
+	{"link", []string{"./internal/process", "./internal/fleet", "./cmd", "./instance/entry", "./instance/sidecar", "./instance/gateway"}, nil, "links know the interfaces of the processes, not the processes"},
+}
+
+// PlatformFolder translates between the product and the users' platform.
+const PlatformFolder = "platform"
+
+// PlatformImporters are the folders that may import it.
+var PlatformImporters = []string{"cmd/trefoil-gateway"}
+
+// PlatformNames stand in that folder only.
+var PlatformNames = []string{
+	"Kv-Source", "Kv-Hold", "Target-Instance", "Not-Executed", "Server-Signature", "rows-feed", "rows-tx", "hold-take",
+	"fencing_token", "kv_handle", "Token-Usage", "Length-Hint", "trefoilwalk/report",
 }
 
 // Breaks reports whether an import breaks the rule.
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -104,3 +105,26 @@
 		}
 	}
 }
+
+// TestPlatformFolder keeps what only the users' platform knows in one folder.
+func TestPlatformFolder(t *testing.T) {
+	goFiles(t, func(path string) {
+		folder, _ := filepath.Rel(root, filepath.Dir(path))
+		if folder == PlatformFolder || folder == "internal/layers" {
+			return
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range PlatformNames {
+			if strings.Contains(string(text), name) {
+				t.Errorf("%s knows the platform's name %q", path, name)
+			}
+		}
+		imported := strings.Contains(string(text), strconv.Quote(module+"/"+PlatformFolder))
+		if imported && !slices.Contains(PlatformImporters, folder) {
+			t.Errorf("%s imports %s", path, PlatformFolder)
+		}
+	})
+}
