Leave out engines that change their role or lose KV caches; order fewer changes

Gateways tell each other which engines turn, one that dishonors two reservations in a row gets no work for a while, and the role planner asks for a tenth more requests a second before it orders anything.

DRAIN: after the registry turned a gateway away, its next watch waited up to five seconds for a change, so the return was noticed late and a true leave was taken for a lapse. The first call after a failure does not wait.

--- a/instance/gateway/duty.go
+++ b/instance/gateway/duty.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 	"github.com/trefoilwalk/trefoilwalk/upstream/split"
@@ -97,7 +98,7 @@
 		}
 		var engines []split.Engine
 		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(name) })
-		changes = append(changes, split.Plan(engines, split.Share(split.DefaultDemand, service.Engine.KVTokens))...)
+		changes = append(changes, split.Plan(engines, split.DefaultDemand, service.Engine.KVTokens)...)
 	}
 	return changes
 }
@@ -161,6 +162,11 @@
 			(*d).ordered[string(c.ID)] = now
 		}
 	})
+	turns := make([]relay.Turn, 0, len(changes))
+	for _, c := range changes {
+		turns = append(turns, relay.Turn{ID: c.ID, For: g.turnTime(h)})
+	}
+	g.turning(h, turns)
 	until := asked.Add(g.options.LeaseTerm / 2)
 	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
 		for _, c := range changes {
@@ -175,6 +181,30 @@
 	}}}
 }
 
+// turnTime is how long a change of role takes.
+func (g *Gateway) turnTime(h *table.Held) (longest time.Duration) {
+	snapshot := g.snapshot(h)
+	if snapshot == nil {
+		return 0
+	}
+	for _, service := range snapshot.Services {
+		if service.Engine != nil {
+			longest = max(longest, service.Engine.RoleSwitch)
+		}
+	}
+	return longest
+}
+
+// turning keeps work from engines that change their role.
+func (g *Gateway) turning(h *table.Held, turns []relay.Turn) {
+	now := g.clock.Now()
+	g.board.With(h, func(b **roster.Board) {
+		for _, t := range turns {
+			(*b).Turning(t.ID, now.Add(t.For))
+		}
+	})
+}
+
 // orderOne sends one order and reports whether a higher fencing number is known
 // at the engine. The engine's own count of orders keeps an order that is carried
 // out late from undoing a newer one.
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -213,6 +213,11 @@
 	})
 	g.quotas.With(h, func(q **quota.Meter) { m.Usage = (*q).Own() })
 	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
+	g.board.With(h, func(b **roster.Board) {
+		for id, left := range (*b).Turns(now) {
+			m.Turns = append(m.Turns, relay.Turn{ID: id, For: left})
+		}
+	})
 	return m
 }
 
@@ -269,6 +274,7 @@
 		g.log.Info(string(eventPeerBack), "peer", m.From.Name)
 	}
 	g.quotas.With(h, func(q **quota.Meter) { (*q).Heard(now, m.From.Name, m.Usage) })
+	g.turning(h, m.Turns)
 	if len(m.Suspects) > 0 {
 		g.suspects.With(h, func(t **quarantine.Table) { (*t).Learn(now, m.Suspects) })
 	}
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -37,6 +38,7 @@
 		(*b).Took(choice, prompt)
 		(*b).Probe(now, choice)
 	})
+	r.reader = &choice
 	r.prefills++
 	r.reads++
 	r.prefillAt = now
@@ -81,6 +83,10 @@
 	}
 	g.logAttempt(r, "prefill", choice, result)
 	r.failed(choice.ID)
+	if result.Reach == runner.Rejected {
+		// Rejected readings count as attempts, unlike the first accepted one.
+		g.retries.With(h, func(b **retry.Budget) { (*b).Spend() })
+	}
 	effects := g.roomFreed(h, r.service)
 	if result.Reach == runner.Broken && !ended {
 		effects = append(effects, g.checkCrash(r, choice)...)
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -42,6 +42,8 @@
 	place       *roster.Choice
 	reservation string
 	held        contract.Tokens
+	// reader is the prefill engine that read the prompt last.
+	reader *roster.Choice
 	// attempts counts the upstreams to which the request was sent, ran says
 	// what is known of them. prefills counts the readings of the prompt for the
 	// current place, reads all of them.
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -76,7 +76,9 @@
 	effects := g.leave(h, r)
 	now := g.clock.Now()
 	ended := r.ctx.Err() != nil
-	g.judge(h, r, choice, result, ended)
+	if result.Reach != runner.Rejected || source.ID == "" {
+		g.judge(h, r, choice, result, ended)
+	}
 	switch result.Reach {
 	case runner.Answered:
 		r.ran = contract.RanYes
@@ -91,10 +93,21 @@
 		}
 		return append(effects, g.finish(h, r, refusal)...)
 	}
-	if result.Reach == runner.Broken {
+	switch {
+	case result.Reach == runner.Broken:
 		effects = append(effects, g.checkCrash(r, choice)...)
+		r.failed(choice.ID)
+	case result.Reach == runner.Rejected && source.ID != "" && !result.Misdirected:
+		// Its memory was reserved: it misses the KV cache, or takes no work.
+		g.board.With(h, func(b **roster.Board) {
+			(*b).KeptBadly(now, *r.reader)
+			(*b).Dishonored(now, choice)
+		})
+		r.failed(r.reader.ID)
+		r.failed(choice.ID)
+	default:
+		r.failed(choice.ID)
 	}
-	r.failed(choice.ID)
 	if g.mayGoOn(h, r, result) {
 		g.log.Info(string(eventRetried), "request", r.message.ID, "attempts", r.attempts, "after_event", r.last,
 			"slack_ms", r.slack(now).Milliseconds(), "left_ms", r.left(now).Milliseconds())
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -53,13 +53,16 @@
 	})
 }
 
-// watchConfig waits for the next configuration.
-func (g *Gateway) watchConfig(h *table.Held) []pool.Effect {
+// watchConfig waits for the next configuration, lookConfig asks for it at once.
+func (g *Gateway) watchConfig(h *table.Held) []pool.Effect { return g.configSince(h, WatchFor) }
+func (g *Gateway) lookConfig(h *table.Held) []pool.Effect  { return g.configSince(h, 0) }
+
+func (g *Gateway) configSince(h *table.Held, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.config.With(h, func(c **configuration) { seen = (*c).seen })
-	return registryCall(WatchFor+WatchSlack, func(ctx context.Context) pool.Step {
-		configs, err := g.registry.WatchConfig(ctx, seen, WatchFor)
-		return func(h *table.Held) []pool.Effect { return g.configRead(h, configs, err, g.watchConfig) }
+	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+		configs, err := g.registry.WatchConfig(ctx, seen, wait)
+		return func(h *table.Held) []pool.Effect { return g.configRead(h, configs, err, g.lookConfig) }
 	})
 }
 
@@ -125,13 +128,18 @@
 	})
 }
 
-// watchUpstreams waits for the next change of the list.
-func (g *Gateway) watchUpstreams(h *table.Held) []pool.Effect {
+// watchUpstreams waits for the next change of the list, lookUpstreams asks for
+// it at once: after a failure, only an answer that does not wait shows that the
+// registry is back.
+func (g *Gateway) watchUpstreams(h *table.Held) []pool.Effect { return g.upstreamsSince(h, WatchFor) }
+func (g *Gateway) lookUpstreams(h *table.Held) []pool.Effect  { return g.upstreamsSince(h, 0) }
+
+func (g *Gateway) upstreamsSince(h *table.Held, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.members.With(h, func(m **members) { seen = (*m).listed })
-	return registryCall(WatchFor+WatchSlack, func(ctx context.Context) pool.Step {
-		list, err := g.registry.WatchUpstreams(ctx, seen, WatchFor)
-		return func(h *table.Held) []pool.Effect { return g.upstreamsRead(h, list, err, g.watchUpstreams) }
+	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+		list, err := g.registry.WatchUpstreams(ctx, seen, wait)
+		return func(h *table.Held) []pool.Effect { return g.upstreamsRead(h, list, err, g.lookUpstreams) }
 	})
 }
 
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 )
 
@@ -20,6 +22,13 @@
 	Addr        string
 }
 
+// Turn is an engine that was ordered to change its role and takes no work for a
+// while.
+type Turn struct {
+	ID  upstream.ID
+	For time.Duration
+}
+
 // Message is what one gateway tells another.
 type Message struct {
 	From Peer
@@ -31,6 +40,8 @@
 	Usage quota.Statement
 	// Suspects are requests that crash upstreams.
 	Suspects []quarantine.Note
+	// Turns are engines that change their role.
+	Turns []Turn
 	// Known are other gateways.
 	Known []Peer
 	// Leaving gateways are about to end.
--- a/upstream/retry/retry.go
+++ b/upstream/retry/retry.go
@@ -55,7 +55,17 @@
 	return &Budget{options: o, floor: o.FloorBurst, among: 1}
 }
 
-// Among divides the floor between a number of processes.
+// Spend takes an attempt from the budget that was not asked for before it was
+// made. What is missing is made up for by later ones.
+func (b *Budget) Spend() {
+	if b.saved >= 1 {
+		b.saved--
+		return
+	}
+	b.floor--
+}
+
+// Among divides the floor and what is saved between a number of processes.
 func (b *Budget) Among(processes int) {
 	b.among = float64(max(1, processes))
 	b.floor = min(b.floor, b.options.FloorBurst/b.among)
@@ -63,7 +73,7 @@
 
 // First records a first attempt.
 func (b *Budget) First() {
-	b.saved = min(b.options.MaxSaved, b.saved+b.options.Share)
+	b.saved = min(max(1, b.options.MaxSaved/b.among), b.saved+b.options.Share)
 }
 
 // Allow reports whether an attempt that ended in a refusal may be followed by
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -58,7 +58,7 @@
 		if u.Service != need.Service || u.Role != need.Role || u.Draining {
 			continue
 		}
-		if now.Before(u.downUntil) || slices.Contains(need.Exclude, u.ID) {
+		if now.Before(u.downUntil) || now.Before(u.turnsUntil) || slices.Contains(need.Exclude, u.ID) {
 			continue
 		}
 		b.turn = b.turn*6364136223846793005 + 1442695040888963407
@@ -82,7 +82,7 @@
 	case health.Probing:
 		return 0
 	}
-	if now.Before(u.fullUntil) {
+	if now.Before(u.fullUntil) || now.Before(u.keepsBadly) {
 		return 1
 	}
 	return 0
@@ -151,6 +151,52 @@
 	}
 }
 
+// KeptBadly notes that a KV cache was gone before it could be fetched from the
+// engine that read the prompt: for a while others are asked first.
+func (b *Board) KeptBadly(now time.Time, c Choice) {
+	if u := b.find(c); u != nil {
+		u.keepsBadly = now.Add(KeepsBadlyFor)
+	}
+}
+
+// maxRejects is the reservations in a row that an engine may fail to honor before
+// it gets no work for a while: it changes its role, or is about to leave.
+const maxRejects = 2
+
+// Dishonored notes that an engine rejected a request for which it had reserved
+// memory.
+func (b *Board) Dishonored(now time.Time, c Choice) {
+	u := b.find(c)
+	if u == nil {
+		return
+	}
+	u.rejects++
+	if u.rejects >= maxRejects {
+		u.downUntil = now.Add(DownFor)
+	}
+}
+
+// Turning notes until when an engine changes its role.
+func (b *Board) Turning(id upstream.ID, until time.Time) {
+	if u, ok := b.upstreams[id]; ok && until.After(u.turnsUntil) {
+		u.turnsUntil = until
+	}
+}
+
+// Turns gives the engines that change their role and for how much longer.
+func (b *Board) Turns(now time.Time) map[upstream.ID]time.Duration {
+	var out map[upstream.ID]time.Duration
+	for id, u := range b.upstreams {
+		if left := u.turnsUntil.Sub(now); left > 0 {
+			if out == nil {
+				out = make(map[upstream.ID]time.Duration)
+			}
+			out[id] = left
+		}
+	}
+	return out
+}
+
 // Down notes that an upstream takes no connection, or is another one now.
 func (b *Board) Down(now time.Time, c Choice) {
 	if u := b.find(c); u != nil {
@@ -172,6 +218,7 @@
 		return
 	}
 	u.health.Succeeded(now, took)
+	u.rejects = 0
 	if load.Known {
 		u.load = load
 		u.loadAt = now
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -26,6 +26,9 @@
 	FullFor = 60 * time.Millisecond
 	// DownFor is how long an upstream that takes no connection gets no work.
 	DownFor = 500 * time.Millisecond
+	// KeepsBadlyFor is how long an engine that lost a KV cache reads prompts
+	// only if no other one can.
+	KeepsBadlyFor = 2 * time.Second
 	// LapseGrace is how long an upstream whose registration ended while the
 	// registry was away is kept after its return; live ones are back by then.
 	LapseGrace = 2 * time.Second
@@ -48,9 +51,13 @@
 	calls  int
 	tokens contract.Tokens
 	// fullUntil and downUntil end what was learned from a refusal.
-	fullUntil, downUntil time.Time
-	load                 runner.Load
-	loadAt               time.Time
+	fullUntil, downUntil, keepsBadly time.Time
+	// turnsUntil is when a change of its role is over.
+	turnsUntil time.Time
+	// rejects counts the reservations in a row that it did not honor.
+	rejects int
+	load    runner.Load
+	loadAt  time.Time
 }
 
 // group names upstreams that do the same work.
@@ -151,6 +158,7 @@
 			u.health.Leave()
 			if u.Born == record.Born {
 				fresh.calls, fresh.tokens = u.calls, u.tokens
+				fresh.turnsUntil = u.turnsUntil
 			}
 		}
 		b.upstreams[record.ID] = fresh
--- a/upstream/split/split.go
+++ b/upstream/split/split.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -35,13 +34,27 @@
 // engine serves one prompt at a time, and those that wait hold reservations.
 const headroom = 1.25
 
-// Share gives the part of the engines that should read prompts: memory at decode
-// engines and time at prefill engines run out at the same rate of requests.
-func Share(d Demand, memory contract.Tokens) float64 {
+// MinGain is the least gain in requests a second for which engines change their
+// role: a change takes an engine out of work for seconds.
+const MinGain = 1.1
+
+// throughput gives the requests a second that engines can serve: memory at decode
+// engines or time at prefill engines runs out first.
+func throughput(d Demand, memory contract.Tokens, prefill, decode int) float64 {
 	held := float64(memory) / float64(max(1, d.Prompt+d.Output))
-	decodeEngines := d.Decode.Seconds() / max(1, held)
-	prefillEngines := d.Prefill.Seconds() * headroom
-	return prefillEngines / (prefillEngines + decodeEngines)
+	return min(float64(prefill)/(d.Prefill.Seconds()*headroom), float64(decode)*max(1, held)/d.Decode.Seconds())
+}
+
+// Want gives the number of engines that should read prompts, out of all. It is
+// have unless another number serves clearly more.
+func Want(d Demand, memory contract.Tokens, all, have int) int {
+	best, most := have, throughput(d, memory, have, all-have)*MinGain
+	for prefill := 1; prefill < all; prefill++ {
+		if t := throughput(d, memory, prefill, all-prefill); t > most {
+			best, most = prefill, t
+		}
+	}
+	return best
 }
 
 // Engine is one engine that takes work.
@@ -58,17 +71,16 @@
 	To upstream.Role
 }
 
-// Plan gives the changes that lead to the wanted share, at least one engine of
-// each role. Engines are taken from the zones that have most of their role, so
-// that prompts move between zones as little as can be.
-func Plan(engines []Engine, share float64) []Change {
+// Plan gives the changes after which engines with some memory serve the demand
+// best. Engines are taken from the zones that have most of their role, so that
+// prompts move between zones as little as can be.
+func Plan(engines []Engine, d Demand, memory contract.Tokens) []Change {
 	if len(engines) < 2 {
 		return nil
 	}
-	want := int(math.Round(share * float64(len(engines))))
-	want = min(max(want, 1), len(engines)-1)
 	list := slices.Clone(engines)
 	slices.SortFunc(list, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
+	want := Want(d, memory, len(list), count(list, upstream.RolePrefill))
 	var changes []Change
 	for {
 		have := count(list, upstream.RolePrefill)
