--- /dev/null
+++ b/contract/quota/quota_test.go
@@ -0,0 +1,169 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+)
+
+func account(perSecond, burst float64) *directory.Account {
+	return &directory.Account{ID: "a", Quota: directory.Quota{PerSecond: perSecond, Burst: burst, ByTokens: true}}
+}
+
+var start = time.Unix(1000, 0)
+
+func TestAdmitAlone(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	a := account(1000, 2000)
+	for i := range 2 {
+		if d := m.Admit(start, a, 1000); !d.Granted {
+			t.Fatalf("request %d within the burst was refused", i)
+		}
+	}
+	d := m.Admit(start, a, 1000)
+	if d.Granted || d.After != time.Second {
+		t.Errorf("over the burst: %+v, want a refusal for a second", d)
+	}
+	if d := m.Admit(start.Add(d.After), a, 1000); !d.Granted {
+		t.Error("refused after the wait that was named")
+	}
+}
+
+func TestLargerThanBurst(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	a := account(1000, 2000)
+	if d := m.Admit(start, a, 5000); !d.Granted {
+		t.Error("a request larger than the burst never passes")
+	}
+	if d := m.Admit(start.Add(2*time.Second), a, 100); d.Granted {
+		t.Error("what the large request took beyond the burst was forgotten")
+	}
+}
+
+func TestUnlimited(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	if d := m.Admit(start, account(0, 0), 1e12); !d.Granted {
+		t.Error("an account without a limit was refused")
+	}
+}
+
+func TestRefund(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	a := account(1000, 1000)
+	m.Admit(start, a, 1000)
+	m.Refund(a.ID, 1000)
+	if d := m.Admit(start, a, 1000); !d.Granted {
+		t.Error("tokens that were given back are gone")
+	}
+}
+
+// TestHeardOutOfOrder delivers statements in every order of three. One that is
+// overtaken must not be charged again.
+func TestHeardOutOfOrder(t *testing.T) {
+	say := func(sequence uint64, used float64) Statement {
+		return Statement{Incarnation: 1, Sequence: sequence, Usage: Usage{"a": used}}
+	}
+	base, first, second := say(1, 1000), say(2, 1200), say(3, 1500)
+	for _, order := range [][]Statement{{first, second}, {second, first}, {second, second, first}} {
+		m := NewMeter(Options{Window: 8 * time.Second})
+		a := account(1, 10_000)
+		m.Admit(start, a, 0)
+		m.Heard(start, "p", base)
+		for _, s := range order {
+			m.Heard(start, "p", s)
+		}
+		if d := m.Admit(start, a, 0); d.Level != 9500 {
+			t.Errorf("level %v after %v, want 9500", d.Level, order)
+		}
+	}
+}
+
+func TestHeardAfterRestart(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	a := account(1, 10_000)
+	m.Admit(start, a, 0)
+	m.Heard(start, "p", Statement{Incarnation: 1, Sequence: 9, Usage: Usage{"a": 5000}})
+	m.Heard(start, "p", Statement{Incarnation: 2, Sequence: 1, Usage: Usage{"a": 300}})
+	if d := m.Admit(start, a, 0); d.Level != 9700 {
+		t.Errorf("level %v, want 9700", d.Level)
+	}
+}
+
+// TestSilentPeersKeepTheirShare checks that parts of a fleet that do not hear each
+// other together stay within the rate.
+func TestSilentPeersKeepTheirShare(t *testing.T) {
+	m := NewMeter(Options{Window: 8 * time.Second})
+	a := account(1000, 1000)
+	m.Heard(start, "p", Statement{Incarnation: 1, Sequence: 1})
+	m.Admit(start, a, 1000)
+	later := start.Add(2 * HeardWithin)
+	if d := m.Admit(later, a, 0); d.Silent != 1 || d.Level > 1.6*1000*HeardWithin.Seconds() {
+		t.Errorf("%+v: half of the rate belongs to the silent peer", d)
+	}
+	m.Forget("p")
+	if d := m.Admit(later, a, 0); d.Silent != 0 {
+		t.Error("a peer that left is still counted")
+	}
+}
+
+// TestBound runs a fleet whose callers ask for several times the rate, with
+// statements that are late, lost and out of order, and checks the bound over
+// every window.
+func TestBound(t *testing.T) {
+	const (
+		processes = 5
+		window    = 8 * time.Second
+		step      = 20 * time.Millisecond
+		slack     = 190_000.0
+	)
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		a := account(47_000, 47_000)
+		var meters []*Meter
+		for i := range processes {
+			meters = append(meters, NewMeter(Options{Window: window, Overdraft: 0.4 * slack, Incarnation: instance.Incarnation(i + 1)}))
+		}
+		type grant struct {
+			at   time.Time
+			cost float64
+		}
+		var grants []grant
+		hears := func(now time.Time) {
+			for i, from := range meters {
+				s := from.Own()
+				for j, to := range meters {
+					if i != j && random.Float64() < 0.9 {
+						to.Heard(now, Peer(fmt.Sprint(i)), s)
+					}
+				}
+			}
+		}
+		hears(start)
+		for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(step) {
+			if now.Sub(start)%(500*time.Millisecond) == 0 {
+				hears(now)
+			}
+			for range 4 {
+				cost := 1000 + 5000*random.Float64()
+				if meters[random.IntN(processes)].Admit(now, a, cost).Granted {
+					grants = append(grants, grant{now, cost})
+				}
+			}
+		}
+		for i := range grants {
+			sum := 0.0
+			for _, g := range grants[i:] {
+				if g.at.Sub(grants[i].at) < window {
+					sum += g.cost
+				}
+			}
+			if bound := (47_000*window.Seconds()+47_000)*1.1 + slack; sum > bound {
+				t.Fatalf("seed %d: %.0f tokens in a window, bound %.0f", seed, sum, bound)
+			}
+		}
+	}
+}
