Test the gateway with fakes; let a gateway that is behind ask back

The tests found: an exchange taught only who started it, so a gateway that the registry turns away, told by a peer every round, never asked for the newer configuration itself (TestRelay). A call whose deadline was the request's own could end as a failed upstream (TestOutcomes, what runs once hangs).

--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -39,14 +39,14 @@
 	r.placedAt = now
 	r.attempts++
 	options := r.options(now)
-	limit := r.left(now)
 	again := r.route.Kind == directory.Idempotent && r.attempts < r.route.MaxAttempts && len(choices) > 1
-	if again {
-		limit = min(limit, time.Duration(hangFactor*float64(r.route.Objective)))
-	}
 	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
-		ctx, cancel := context.WithTimeout(r.ctx, limit)
-		defer cancel()
+		ctx := r.ctx
+		if again {
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, time.Duration(hangFactor*float64(r.route.Objective)))
+			defer cancel()
+		}
 		answer, result := g.runners.Call(ctx, choice.Target, r.message, options)
 		return func(h *table.Held) []pool.Effect { return g.called(h, r, choice, answer, result) }
 	}}}
@@ -78,7 +78,7 @@
 	}
 	switch {
 	case ended:
-		return append(effects, g.settle(h, r, r.over())...)
+		return append(effects, g.settle(h, r, g.stopped(h, r))...)
 	case result.Reach == runner.NotSent && len(r.exclude) < maxConnects:
 		return append(effects, g.call(h, r)...)
 	case r.attempts < r.route.MaxAttempts && g.mayRetry(h, r, r.ran):
--- /dev/null
+++ b/instance/gateway/fakes_test.go
@@ -0,0 +1,468 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/contract/quota"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/link/relay"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
+)
+
+// answer is what a fake upstream does with one call.
+type answer struct {
+	result runner.Result
+	// events are delivered before the result.
+	events int
+	// hang keeps the call until its context ends.
+	hang bool
+	// takes is how long the call lasts.
+	takes time.Duration
+}
+
+var (
+	good     = answer{result: runner.Result{Reach: runner.Answered, Status: 200}}
+	failed   = answer{result: runner.Result{Reach: runner.Answered, Status: 500}}
+	full     = answer{result: runner.Result{Reach: runner.Rejected, Status: 503, Err: errors.New("full")}}
+	misled   = answer{result: runner.Result{Reach: runner.Rejected, Status: 421, Misdirected: true, Err: errors.New("another")}}
+	broken   = answer{result: runner.Result{Reach: runner.Broken, Err: errors.New("reset")}}
+	notSent  = answer{result: runner.Result{Reach: runner.NotSent, Err: errors.New("no connection")}}
+	hanging  = answer{hang: true}
+	torn     = answer{result: broken.result, events: 2}
+	complete = answer{result: good.result, events: 5}
+)
+
+// fakeRunners is all upstreams of a fleet. Calls are answered by what was queued
+// for their kind, and well if nothing was.
+type fakeRunners struct {
+	mu      sync.Mutex
+	answers map[string][]answer
+	// calls are all calls in order, as kind@upstream, with what was added.
+	calls   []string
+	options []runner.Options
+	orders  []runner.RoleOrder
+	report  runner.Report
+	// unreachable upstreams take no connection.
+	unreachable map[upstream.ID]bool
+	held        int
+}
+
+func newFakeRunners() *fakeRunners {
+	return &fakeRunners{answers: make(map[string][]answer), unreachable: make(map[upstream.ID]bool)}
+}
+
+// queue adds answers for a kind of call.
+func (f *fakeRunners) queue(kind string, answers ...answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers[kind] = append(f.answers[kind], answers...)
+}
+
+func (f *fakeRunners) take(ctx context.Context, kind string, to runner.Target, o runner.Options) answer {
+	f.mu.Lock()
+	f.calls = append(f.calls, kind+"@"+string(to.ID))
+	f.options = append(f.options, o)
+	a := good
+	if kind == "stream" {
+		a = complete
+	}
+	if list := f.answers[kind]; len(list) > 0 {
+		a, f.answers[kind] = list[0], list[1:]
+	}
+	f.mu.Unlock()
+	if a.hang {
+		<-ctx.Done()
+		return answer{result: runner.Result{Reach: runner.Broken, Err: context.Cause(ctx)}, events: a.events}
+	}
+	if a.takes > 0 {
+		select {
+		case <-ctx.Done():
+			return answer{result: runner.Result{Reach: runner.Broken, Err: context.Cause(ctx)}}
+		case <-time.After(a.takes):
+		}
+	}
+	return a
+}
+
+// count counts the calls of a kind.
+func (f *fakeRunners) count(kind string) (n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range f.calls {
+		if len(c) > len(kind) && c[:len(kind)+1] == kind+"@" {
+			n++
+		}
+	}
+	return n
+}
+
+// seen copies all calls.
+func (f *fakeRunners) seen() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.calls)
+}
+
+// ordered copies all orders.
+func (f *fakeRunners) ordered() []runner.RoleOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
+
+// last gives the options of the last call of a kind.
+func (f *fakeRunners) last(kind string) (o runner.Options) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, c := range f.calls {
+		if len(c) > len(kind) && c[:len(kind)+1] == kind+"@" {
+			o = f.options[i]
+		}
+	}
+	return o
+}
+
+func (f *fakeRunners) Reserve(ctx context.Context, to runner.Target, _ contract.Tokens, _ time.Duration) (string, runner.Result) {
+	a := f.take(ctx, "reserve", to, runner.Options{})
+	if a.result.Reach != runner.Answered {
+		return "", a.result
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held++
+	return "r" + strconv.Itoa(f.held), a.result
+}
+
+func (f *fakeRunners) Release(ctx context.Context, to runner.Target, id string) runner.Result {
+	return f.take(ctx, "release", to, runner.Options{Reservation: id}).result
+}
+
+func (f *fakeRunners) Prefill(ctx context.Context, to runner.Target, _ *contract.Message, o runner.Options) (runner.Handle, runner.Result) {
+	a := f.take(ctx, "prefill", to, o)
+	if a.result.Reach != runner.Answered {
+		return runner.Handle{}, a.result
+	}
+	return runner.Handle{ID: "k", Addr: to.Addr}, a.result
+}
+
+func (f *fakeRunners) FreeHandle(ctx context.Context, to runner.Target, id string) runner.Result {
+	return f.take(ctx, "free", to, runner.Options{Source: runner.Handle{ID: id, Addr: to.Addr}}).result
+}
+
+func (f *fakeRunners) Call(ctx context.Context, to runner.Target, _ *contract.Message, o runner.Options) (runner.Answer, runner.Result) {
+	a := f.take(ctx, "call", to, o)
+	if a.result.Reach != runner.Answered {
+		return runner.Answer{}, a.result
+	}
+	return runner.Answer{Status: a.result.Status, Header: map[string][]string{}, Body: []byte("body")}, a.result
+}
+
+func (f *fakeRunners) Stream(ctx context.Context, to runner.Target, _ *contract.Message, o runner.Options, sink runner.StreamReceiver) (runner.Answer, runner.Result) {
+	a := f.take(ctx, "stream", to, o)
+	first := 1
+	if o.ResumeAfter != "" {
+		last, err := strconv.Atoi(o.ResumeAfter)
+		if err != nil {
+			return runner.Answer{}, broken.result
+		}
+		first = last + 1
+	}
+	for id := first; id <= a.events; id++ {
+		if err := sink.Begin(200, nil); err != nil {
+			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: err}
+		}
+		if err := sink.Event(runner.Event{ID: strconv.Itoa(id), Raw: []byte(strconv.Itoa(id) + " ")}); err != nil {
+			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: err}
+		}
+	}
+	return runner.Answer{}, a.result
+}
+
+func (f *fakeRunners) Report(ctx context.Context, to runner.Target) (runner.Report, runner.Result) {
+	a := f.take(ctx, "report", to, runner.Options{})
+	return f.report, a.result
+}
+
+func (f *fakeRunners) SetRole(ctx context.Context, to runner.Target, o runner.RoleOrder) runner.Result {
+	a := f.take(ctx, "order", to, runner.Options{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	return a.result
+}
+
+func (f *fakeRunners) Reachable(_ context.Context, to runner.Target) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.unreachable[to.ID] {
+		return errors.New("nobody listens")
+	}
+	return nil
+}
+
+// errAway is what a registry that is away answers.
+var errAway = errors.New("registry is away")
+
+// fakeRegistry is the platform's store.
+type fakeRegistry struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	version uint64
+	config  *directory.Snapshot
+	list    map[upstream.ID]registry.Record
+	entries []registry.Entry
+	lease   registry.Lease
+	leaseAt time.Time
+	down    bool
+}
+
+func newFakeRegistry(s *directory.Snapshot, records ...registry.Record) *fakeRegistry {
+	f := &fakeRegistry{changed: make(chan struct{}), version: 1, config: s, list: make(map[upstream.ID]registry.Record)}
+	for _, r := range records {
+		f.list[r.ID] = r
+	}
+	return f
+}
+
+// change changes what the registry holds and wakes who watches.
+func (f *fakeRegistry) change(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	f.version++
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fakeRegistry) wait(ctx context.Context, after uint64, wait time.Duration) error {
+	f.mu.Lock()
+	changed, version, down := f.changed, f.version, f.down
+	f.mu.Unlock()
+	if down {
+		return errAway
+	}
+	if version > after || wait == 0 {
+		return nil
+	}
+	select {
+	case <-changed:
+	case <-time.After(wait):
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errAway
+	}
+	return nil
+}
+
+func (f *fakeRegistry) ReadUpstreams(ctx context.Context) (registry.Upstreams, error) {
+	return f.WatchUpstreams(ctx, 0, 0)
+}
+
+// WatchUpstreams always gives the whole list, which a change may be.
+func (f *fakeRegistry) WatchUpstreams(ctx context.Context, after uint64, wait time.Duration) (registry.Upstreams, error) {
+	if err := f.wait(ctx, after, wait); err != nil {
+		return registry.Upstreams{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := registry.Upstreams{Version: f.version, Whole: true}
+	for _, r := range f.list {
+		out.Present = append(out.Present, r)
+	}
+	return out, nil
+}
+
+func (f *fakeRegistry) ReadConfig(ctx context.Context) (registry.Configs, error) {
+	return f.WatchConfig(ctx, 0, 0)
+}
+
+func (f *fakeRegistry) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (registry.Configs, error) {
+	if err := f.wait(ctx, after, wait); err != nil {
+		return registry.Configs{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return registry.Configs{Version: f.version, Newest: f.config}, nil
+}
+
+func (f *fakeRegistry) ReadLease(context.Context, string) (registry.Lease, bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return registry.Lease{}, false, errAway
+	}
+	lease := f.lease
+	lease.Age = time.Since(f.leaseAt)
+	return lease, lease.Holder != "", nil
+}
+
+func (f *fakeRegistry) WriteLease(_ context.Context, _ string, read registry.Lease, holder string) (uint64, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.down:
+		return 0, errAway
+	case read.Fencing != f.lease.Fencing:
+		return 0, registry.ErrConflict
+	}
+	f.lease = registry.Lease{Holder: holder, Fencing: f.lease.Fencing + 1}
+	f.leaseAt = time.Now()
+	return f.lease.Fencing, nil
+}
+
+func (f *fakeRegistry) Enter(_ context.Context, self registry.Entry) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errAway
+	}
+	f.entries = append(f.entries, self)
+	return nil
+}
+
+func (f *fakeRegistry) Entries(context.Context) ([]registry.Entry, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]registry.Entry(nil), f.entries...), nil
+}
+
+// fakePeers lets gateways of one test reach each other.
+type fakePeers struct {
+	mu       sync.Mutex
+	gateways map[string]*Gateway
+	cut      map[string]bool
+}
+
+func newFakePeers() *fakePeers {
+	return &fakePeers{gateways: make(map[string]*Gateway), cut: make(map[string]bool)}
+}
+
+func (f *fakePeers) Exchange(ctx context.Context, addr string, m relay.Message) (relay.Reply, error) {
+	f.mu.Lock()
+	g, cut := f.gateways[addr], f.cut[addr] || f.cut[m.From.Addr]
+	f.mu.Unlock()
+	if g == nil || cut {
+		return relay.Reply{}, errors.New("no such peer")
+	}
+	return g.Exchange(ctx, m)
+}
+
+// callerSink is a caller.
+type callerSink struct {
+	status int
+	body   string
+	fail   error
+}
+
+func (c *callerSink) Begin(status int, _ map[string][]string) error {
+	c.status = status
+	return c.fail
+}
+
+func (c *callerSink) Write(p []byte) error {
+	c.body += string(p)
+	return c.fail
+}
+
+const returnAfter = 2 * time.Second
+
+// fleet is what a test's gateways share.
+type fleet struct {
+	runners  *fakeRunners
+	registry *fakeRegistry
+	peers    *fakePeers
+}
+
+func record(id string, service directory.ServiceName, role upstream.Role) registry.Record {
+	return registry.Record{ID: upstream.ID(id), Service: service, Addr: id + ":1", Zone: "z", Role: role}
+}
+
+// testFleet has two prefill and two decode engines and two plain upstreams.
+func testFleet() *fleet {
+	return &fleet{
+		runners: newFakeRunners(),
+		registry: newFakeRegistry(testConfig(1),
+			record("p1", "engines", upstream.RolePrefill), record("p2", "engines", upstream.RolePrefill),
+			record("d1", "engines", upstream.RoleDecode), record("d2", "engines", upstream.RoleDecode),
+			record("s1", "desk", upstream.RoleService), record("s2", "desk", upstream.RoleService)),
+		peers: newFakePeers(),
+	}
+}
+
+// start runs a gateway and waits until it serves.
+func (f *fleet) start(t *testing.T, name string, seeds ...string) *Gateway {
+	t.Helper()
+	g := New(Options{
+		Self:        instance.Identity{Name: instance.Name(name), Incarnation: instance.Incarnation(time.Now().UnixNano())},
+		Addr:        name,
+		Seeds:       seeds,
+		Runners:     f.runners,
+		Registry:    f.registry,
+		Peers:       f.peers,
+		Quota:       quota.Options{Window: 8 * time.Second},
+		Retries:     retry.Options{Share: 0.2, FloorPerSecond: 5, FloorBurst: 20, MaxSaved: 10},
+		ReturnAfter: returnAfter,
+		LeaseTerm:   3 * time.Second,
+	})
+	f.peers.mu.Lock()
+	f.peers.gateways[name] = g
+	f.peers.mu.Unlock()
+	return g
+}
+
+func testConfig(version uint64) *directory.Snapshot {
+	route := func(name, prefix string, kind directory.Kind, service directory.ServiceName, attempts int) *directory.Route {
+		return &directory.Route{
+			Name: contract.RouteName(name), Host: "h", Prefix: prefix, Kind: kind, MaxAttempts: attempts, Timeout: 10 * time.Second,
+			Objective: 900 * time.Millisecond, Shares: []directory.Share{{Service: service, Weight: 1}},
+		}
+	}
+	resumable := route("resumable", "/resumable/", directory.Stream, "engines", 2)
+	resumable.Resumable = true
+	open := route("open", "/open/", directory.Idempotent, "desk", 2)
+	open.Open = true
+	return &directory.Snapshot{
+		Version: version,
+		Hosts: map[string][]*directory.Route{"h": {
+			resumable, open, route("stream", "/stream/", directory.Stream, "engines", 1),
+			route("read", "/read/", directory.Idempotent, "desk", 2), route("once", "/once/", directory.Once, "desk", 1),
+		}},
+		Services: map[directory.ServiceName]*directory.Service{
+			"engines": {Name: "engines", Engine: &directory.Engine{KVTokens: 123_000, RoleSwitch: 6 * time.Second, MaxReservation: 2 * time.Second}},
+			"desk":    {Name: "desk"},
+		},
+		Accounts: map[contract.AccountID]*directory.Account{"weaver": {
+			ID: "weaver", Quota: directory.Quota{PerSecond: 10_000, Burst: 10_000, ByTokens: true, PlainCost: 100},
+		}},
+		Keys: map[contract.KeyHash]contract.AccountID{contract.HashKey("key"): "weaver"},
+	}
+}
+
+func testMessage(path string) *contract.Message {
+	return &contract.Message{
+		ID: "id", Host: "h", Path: path, Method: "POST", Target: path, Key: "key", Patience: 8 * time.Second,
+		Prompt: 1000, MaxOutput: 100, Sized: true,
+	}
+}
+
+// plainMessage declares no size.
+func plainMessage(path string) *contract.Message {
+	m := testMessage(path)
+	m.Prompt, m.MaxOutput, m.Sized = 0, 0, false
+	return m
+}
--- /dev/null
+++ b/instance/gateway/fleet_test.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// version gives the configuration in force.
+func version(g *Gateway) uint64 {
+	if s := g.snapshot(table.NewHeld()); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
+// TestNoConfiguration refuses everything while nothing is known.
+func TestNoConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.registry.down = true
+		g := f.start(t, "g1")
+		defer g.Close()
+		synctest.Wait()
+		if g.Ready() {
+			t.Error("ready without a configuration")
+		}
+		checkRefusal(t, g.Forward(context.Background(), testMessage("/nowhere/"), &callerSink{}), contract.CodeNoConfig, contract.RanNo)
+		f.registry.change(func() { f.registry.down = false })
+		time.Sleep(2 * ReadAgainAfter)
+		synctest.Wait()
+		if !g.Ready() {
+			t.Error("not ready after the registry came back")
+		}
+	})
+}
+
+// TestNeverOlder never steps back to an older configuration, whoever names it.
+func TestNeverOlder(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		for _, step := range []struct{ offered, want uint64 }{{7, 7}, {3, 7}, {7, 7}, {9, 9}} {
+			f.registry.change(func() { f.registry.config = testConfig(step.offered) })
+			synctest.Wait()
+			if got := version(g); got != step.want {
+				t.Errorf("version %d after %d, want %d", got, step.offered, step.want)
+			}
+		}
+	})
+}
+
+// TestRelay carries a configuration and the list of upstreams to a gateway that
+// the registry turns away.
+func TestRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		g1 := f.start(t, "g1")
+		defer g1.Close()
+		synctest.Wait()
+		turnedAway := &fleet{runners: f.runners, registry: newFakeRegistry(nil), peers: f.peers}
+		turnedAway.registry.down = true
+		g2 := turnedAway.start(t, "g2", "g1")
+		defer g2.Close()
+		time.Sleep(2 * SweepEvery)
+		synctest.Wait()
+		if !g2.Ready() {
+			t.Fatal("a gateway that hears a peer is not ready")
+		}
+		f.registry.change(func() {
+			f.registry.config = testConfig(5)
+			delete(f.registry.list, "s1")
+			delete(f.registry.list, "s2")
+		})
+		time.Sleep(2 * SweepEvery)
+		synctest.Wait()
+		if version(g2) != 5 {
+			t.Errorf("version %d at the gateway that was turned away, want 5", version(g2))
+		}
+	})
+}
+
+// TestLeavingUpstream sends nothing to an upstream after the registry named its
+// leaving.
+func TestLeavingUpstream(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.registry.change(func() {
+			draining := record("s1", "desk", upstream.RoleService)
+			draining.Draining = true
+			f.registry.list["s1"] = draining
+		})
+		synctest.Wait()
+		for range 20 {
+			checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), "", contract.RanNo)
+		}
+		for _, call := range f.runners.seen() {
+			if call == "call@s1" {
+				t.Fatal("a leaving upstream got work")
+			}
+		}
+	})
+}
+
+// TestReturnIsNoticed asks at once after a failure, without waiting for a change,
+// so that a leave after the registry's return is not taken for a lapse.
+func TestReturnIsNoticed(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.registry.change(func() { f.registry.down = true })
+		time.Sleep(3 * time.Second)
+		f.registry.mu.Lock()
+		f.registry.down = false
+		f.registry.mu.Unlock()
+		time.Sleep(2 * ReadAgainAfter)
+		synctest.Wait()
+		f.registry.change(func() { delete(f.registry.list, "s1") })
+		synctest.Wait()
+		for range 20 {
+			g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+		}
+		for _, call := range f.runners.seen() {
+			if call == "call@s1" {
+				t.Fatal("an upstream that left got work")
+			}
+		}
+	})
+}
+
+// TestLapsedUpstreams keeps upstreams whose registrations vanish with the registry
+// until two seconds after its return.
+func TestLapsedUpstreams(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.registry.change(func() { f.registry.down = true })
+		time.Sleep(3 * time.Second)
+		f.registry.change(func() {
+			f.registry.down = false
+			f.registry.list = map[upstream.ID]registry.Record{}
+		})
+		time.Sleep(time.Second)
+		synctest.Wait()
+		checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), "", contract.RanNo)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		refusal := g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+		checkRefusal(t, refusal, contract.CodeNoUpstream, contract.RanNo)
+	})
+}
+
+// TestQuotaAcrossGateways counts what peers admitted.
+func TestQuotaAcrossGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		g1 := f.start(t, "g1")
+		defer g1.Close()
+		synctest.Wait()
+		g2 := f.start(t, "g2")
+		defer g2.Close()
+		time.Sleep(2 * SweepEvery)
+		m := testMessage("/stream/1")
+		m.Prompt, m.MaxOutput = 0, 0
+		// Both know the account before any of its quota is used.
+		for _, g := range []*Gateway{g1, g2} {
+			checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		}
+		m.Prompt = 10_000
+		checkRefusal(t, g1.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		time.Sleep(SweepEvery + time.Millisecond)
+		synctest.Wait()
+		checkRefusal(t, g2.Forward(context.Background(), m, &callerSink{}), contract.CodeRateLimited, contract.RanNo)
+	})
+}
+
+// TestRoles turns engines by one holder, with the engine's own count of orders.
+func TestRoles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.registry.list["p3"] = record("p3", "engines", upstream.RolePrefill)
+		f.registry.list["p4"] = record("p4", "engines", upstream.RolePrefill)
+		f.registry.list["p5"] = record("p5", "engines", upstream.RolePrefill)
+		f.runners.report.Role = upstream.RolePrefill
+		f.runners.report.Orders = 4
+		g1 := f.start(t, "g1")
+		defer g1.Close()
+		g2 := f.start(t, "g2")
+		defer g2.Close()
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		if len(f.runners.ordered()) == 0 {
+			t.Fatal("no order was given")
+		}
+		for _, o := range f.runners.ordered() {
+			if o.Holder != "g1" || o.Role != upstream.RoleDecode || o.Orders != 4 || o.Fencing != f.runners.ordered()[0].Fencing {
+				t.Errorf("order %+v", o)
+			}
+		}
+	})
+}
+
+// TestRolesWaitForTheLease gives no order while another process may.
+func TestRolesWaitForTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		delete(f.registry.list, "d1")
+		delete(f.registry.list, "d2")
+		f.runners.report.Role = upstream.RolePrefill
+		f.registry.lease = registry.Lease{Holder: "other", Fencing: 9}
+		f.registry.leaseAt = time.Now()
+		g := f.start(t, "g1")
+		defer g.Close()
+		time.Sleep(3 * time.Second)
+		if n := len(f.runners.ordered()); n != 0 {
+			t.Errorf("%d orders while another process held the lease", n)
+		}
+		time.Sleep(5 * time.Second)
+		if len(f.runners.ordered()) == 0 || f.runners.ordered()[0].Fencing <= 9 {
+			t.Errorf("orders %+v after the lease ran out", f.runners.ordered())
+		}
+	})
+}
+
+// TestTurningEngines sends nothing to an engine that a peer has ordered to change.
+func TestTurningEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.registry.list["p3"] = record("p3", "engines", upstream.RolePrefill)
+		f.registry.list["p4"] = record("p4", "engines", upstream.RolePrefill)
+		f.runners.report.Role = upstream.RolePrefill
+		g1 := f.start(t, "g1")
+		defer g1.Close()
+		g2 := f.start(t, "g2")
+		defer g2.Close()
+		time.Sleep(SettleTime + 4*SweepEvery)
+		synctest.Wait()
+		turned := make(map[string]bool)
+		for _, call := range f.runners.seen() {
+			if len(call) > 6 && call[:6] == "order@" {
+				turned[call[6:]] = true
+			}
+		}
+		if len(turned) == 0 {
+			t.Fatal("no engine was ordered")
+		}
+		before := len(f.runners.seen())
+		for range 20 {
+			g2.Forward(context.Background(), testMessage("/stream/1"), &callerSink{})
+		}
+		for _, call := range f.runners.seen()[before:] {
+			for id := range turned {
+				if call == "prefill@"+id || call == "reserve@"+id {
+					t.Fatalf("%s while it changes its role", call)
+				}
+			}
+		}
+	})
+}
+
+// TestMembers learns peers by seeds and by each other, and forgets silent ones.
+func TestMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.registry.down = true
+		var all []*Gateway
+		for _, name := range []string{"g1", "g2", "g3"} {
+			g := f.start(t, name, "g1")
+			defer g.Close()
+			all = append(all, g)
+		}
+		time.Sleep(5 * SweepEvery)
+		synctest.Wait()
+		for _, g := range all {
+			if n := g.processes(table.NewHeld(), time.Now()); n != 3 {
+				t.Errorf("%s knows %d gateways, want 3", g.options.Self.Name, n)
+			}
+		}
+		f.peers.mu.Lock()
+		f.peers.cut["g3"] = true
+		f.peers.mu.Unlock()
+		time.Sleep(2 * ForgetAfter)
+		synctest.Wait()
+		if n := all[0].processes(table.NewHeld(), time.Now()); n != 2 {
+			t.Errorf("%d gateways known after one fell silent, want 2", n)
+		}
+	})
+}
+
+// TestLife goes through the states of the process.
+func TestLife(t *testing.T) {
+	run(t, func(t *testing.T, _ *fleet, g *Gateway) {
+		if g.State() != instance.Serving {
+			t.Errorf("state %v, want serving", g.State())
+		}
+		g.Drain()
+		if g.State() != instance.Draining {
+			t.Errorf("state %v, want draining", g.State())
+		}
+	})
+}
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -47,16 +47,18 @@
 	// listed is the registry's version up to which the list of upstreams is
 	// known.
 	listed uint64
-	// feedDown says which of the registry's feeds failed last.
+	// feedDown says which of the registry's feeds failed last; none was read at
+	// the start.
 	feedDown   [feeds]bool
 	registryAt time.Time
 }
 
 func newMembers(o Options) *members {
 	return &members{
-		self:  relay.Peer{Name: o.Self.Name, Incarnation: o.Self.Incarnation, Addr: o.Addr},
-		seeds: slices.DeleteFunc(slices.Clone(o.Seeds), func(addr string) bool { return addr == o.Addr }),
-		peers: make(map[instance.Name]*member),
+		self:     relay.Peer{Name: o.Self.Name, Incarnation: o.Self.Incarnation, Addr: o.Addr},
+		seeds:    slices.DeleteFunc(slices.Clone(o.Seeds), func(addr string) bool { return addr == o.Addr }),
+		peers:    make(map[instance.Name]*member),
+		feedDown: [feeds]bool{feedConfig: true, feedUpstreams: true},
 	}
 }
 
@@ -255,9 +257,7 @@
 // relayed takes in a peer's list of upstreams while the registry does not answer
 // here; otherwise its own feed tells the same.
 func (g *Gateway) relayed(h *table.Held, list registry.Upstreams, from relay.Peer) {
-	away, known := false, uint64(0)
-	g.members.With(h, func(m **members) { away, known = (*m).away(), (*m).listed })
-	if away || known == 0 {
+	if g.turnedAway(h) {
 		g.list(h, list, string(from.Name))
 	}
 }
@@ -294,8 +294,17 @@
 			reply.Upstreams = &list
 		}
 		answer(reply)
+		if m.Config > reply.Config || m.List > reply.List && g.turnedAway(h) {
+			return []pool.Effect{g.exchange(h, m.From.Addr)}
+		}
 		return nil
 	})
 }
 
+// turnedAway reports whether the registry does not answer here.
+func (g *Gateway) turnedAway(h *table.Held) (away bool) {
+	g.members.With(h, func(m **members) { away = (*m).away() })
+	return away
+}
+
 var _ relay.Server = (*Gateway)(nil)
--- /dev/null
+++ b/instance/gateway/path_test.go
@@ -0,0 +1,341 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// TestOutcomes sends one request through each kind of failure and checks what
+// the caller gets, what is said of the request, and what upstreams saw.
+func TestOutcomes(t *testing.T) {
+	type queued map[string][]answer
+	cases := []struct {
+		name    string
+		path    string
+		answers queued
+		// code is the refusal's, empty for a whole answer.
+		code contract.Code
+		ran  contract.Ran
+		body string
+		// calls are how often upstreams saw each kind of call.
+		calls map[string]int
+	}{
+		{name: "a stream", path: "/stream/1", body: "1 2 3 4 5 ", calls: map[string]int{"reserve": 1, "prefill": 1, "stream": 1, "release": 0}},
+		{
+			name: "the first engine is full", path: "/stream/1", answers: queued{"reserve": {full}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"reserve": 2, "stream": 1},
+		},
+		{
+			name: "a prefill engine rejects", path: "/stream/1", answers: queued{"prefill": {full}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"prefill": 2, "stream": 1},
+		},
+		{
+			name: "no prefill engine reads: the decode engine does", path: "/stream/1", answers: queued{"prefill": {broken, broken}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"prefill": 2, "stream": 1},
+		},
+		{
+			name: "the KV cache is gone", path: "/resumable/1", answers: queued{"stream": {full}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"reserve": 2, "prefill": 2, "stream": 2},
+		},
+		{
+			name: "a stream breaks before its first event and may not run again", path: "/stream/1", answers: queued{"stream": {broken}},
+			code: contract.CodeUpstreamFailed, ran: contract.RanUnknown, calls: map[string]int{"stream": 1},
+		},
+		{
+			name: "a resumable stream breaks before its first event", path: "/resumable/1", answers: queued{"stream": {broken}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"stream": 2},
+		},
+		{
+			name: "a stream breaks off", path: "/stream/1", answers: queued{"stream": {torn}},
+			code: contract.CodeStreamBroken, ran: contract.RanYes, body: "1 2 ", calls: map[string]int{"stream": 1},
+		},
+		{
+			name: "a resumable stream breaks off", path: "/resumable/1", answers: queued{"stream": {torn}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"stream": 2},
+		},
+		{
+			name: "a resumable stream breaks off too often", path: "/resumable/1", answers: queued{"stream": {torn, torn}},
+			code: contract.CodeStreamBroken, ran: contract.RanYes, body: "1 2 ", calls: map[string]int{"stream": 2},
+		},
+		{name: "a plain read", path: "/read/1", body: "body", calls: map[string]int{"call": 1}},
+		{
+			name: "a plain read fails once", path: "/read/1", answers: queued{"call": {failed}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "a plain read fails twice: the upstream's answer is passed on", path: "/read/1", answers: queued{"call": {failed, failed}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "a plain read fails and then breaks: the answer that there is is passed on", path: "/read/1", answers: queued{"call": {failed, broken}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "a plain read is answered by another upstream's address", path: "/read/1", answers: queued{"call": {misled}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "an upstream hangs", path: "/read/1", answers: queued{"call": {hanging}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "what runs once breaks", path: "/once/1", answers: queued{"call": {broken}},
+			code: contract.CodeUpstreamFailed, ran: contract.RanUnknown, calls: map[string]int{"call": 1},
+		},
+		{
+			name: "what runs once fails", path: "/once/1", answers: queued{"call": {failed}},
+			body: "body", calls: map[string]int{"call": 1},
+		},
+		{
+			name: "what runs once is rejected", path: "/once/1", answers: queued{"call": {full}},
+			code: contract.CodeOverCapacity, ran: contract.RanNo, calls: map[string]int{"call": 1},
+		},
+		{
+			name: "no byte of what runs once was sent", path: "/once/1", answers: queued{"call": {notSent}},
+			body: "body", calls: map[string]int{"call": 2},
+		},
+		{
+			name: "what runs once hangs", path: "/once/1", answers: queued{"call": {hanging}},
+			code: contract.CodeDeadline, ran: contract.RanUnknown, calls: map[string]int{"call": 1},
+		},
+		{name: "no route", path: "/nowhere/", code: contract.CodeRouteUnknown, calls: map[string]int{"call": 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := testFleet()
+				g := f.start(t, "g1")
+				defer g.Close()
+				synctest.Wait()
+				for kind, answers := range c.answers {
+					f.runners.queue(kind, answers...)
+				}
+				caller := &callerSink{}
+				refusal := g.Forward(context.Background(), testMessage(c.path), caller)
+				checkRefusal(t, refusal, c.code, c.ran)
+				if caller.body != c.body {
+					t.Errorf("the caller got %q, want %q", caller.body, c.body)
+				}
+				synctest.Wait()
+				for kind, want := range c.calls {
+					if got := f.runners.count(kind); got != want {
+						t.Errorf("%d calls to %s, want %d: %v", got, kind, want, f.runners.seen())
+					}
+				}
+				if g.Running() != 0 {
+					t.Errorf("%d requests are left", g.Running())
+				}
+			})
+		})
+	}
+}
+
+func checkRefusal(t *testing.T, refusal *contract.Refusal, code contract.Code, ran contract.Ran) {
+	t.Helper()
+	switch {
+	case refusal == nil && code != "":
+		t.Errorf("answered, want %s", code)
+	case refusal != nil && (refusal.Code != code || refusal.Ran != ran):
+		t.Errorf("%v, want %s (ran: %s)", refusal, code, ran)
+	}
+}
+
+// run starts a gateway that serves and calls f.
+func run(t *testing.T, f func(t *testing.T, fleet *fleet, g *Gateway)) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := testFleet()
+		g := fleet.start(t, "g1")
+		defer g.Close()
+		synctest.Wait()
+		f(t, fleet, g)
+	})
+}
+
+// TestFullEngines keeps a request waiting while no engine has room, refuses it as
+// not run while its first event could still be in time, and at once.
+func TestFullEngines(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		many := make([]answer, 1000)
+		for i := range many {
+			many[i] = full
+		}
+		f.runners.queue("reserve", many...)
+		began := time.Now()
+		refusal := g.Forward(context.Background(), testMessage("/stream/1"), &callerSink{})
+		checkRefusal(t, refusal, contract.CodeOverCapacity, contract.RanNo)
+		if !refusal.Repeat || refusal.After != returnAfter {
+			t.Errorf("%+v does not say when to come back", refusal)
+		}
+		if took := time.Since(began); took > 900*time.Millisecond-FirstEventNeeds+AskAgainAfter {
+			t.Errorf("refused after %v", took)
+		}
+		if f.runners.count("prefill") != 0 {
+			t.Error("a prompt was read without a place for it")
+		}
+		if f.runners.count("reserve") > 60 {
+			t.Errorf("full engines were asked %d times", f.runners.count("reserve"))
+		}
+	})
+}
+
+// TestRoomFreed places a waiting request when an engine has room again.
+func TestRoomFreed(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.runners.queue("reserve", full, full, full, full)
+		caller := &callerSink{}
+		if refusal := g.Forward(context.Background(), testMessage("/stream/1"), caller); refusal != nil {
+			t.Error(refusal)
+		}
+		if caller.body != "1 2 3 4 5 " {
+			t.Errorf("the caller got %q", caller.body)
+		}
+	})
+}
+
+// TestCallerLeaves ends the call at the upstream, wherever the request stands,
+// and frees what it holds.
+func TestCallerLeaves(t *testing.T) {
+	cases := []struct{ at, then string }{
+		{"reserve", ""}, {"prefill", "release"}, {"stream", ""}, {"call", ""},
+	}
+	for _, c := range cases {
+		t.Run(c.at, func(t *testing.T) {
+			run(t, func(t *testing.T, f *fleet, g *Gateway) {
+				path := "/resumable/1"
+				if c.at == "call" {
+					path = "/read/1"
+				}
+				hang := hanging
+				if c.at == "reserve" {
+					// A request that waits for room.
+					hang = full
+					hang.takes = 100 * time.Millisecond
+				}
+				f.runners.queue(c.at, hang, hang, hang, hang)
+				ctx, cancel := context.WithCancel(context.Background())
+				time.AfterFunc(50*time.Millisecond, cancel)
+				refusal := g.Forward(ctx, testMessage(path), &callerSink{})
+				if refusal == nil || refusal.Code != contract.CodeCanceled {
+					t.Errorf("%v, want canceled", refusal)
+				}
+				synctest.Wait()
+				sent := len(f.runners.seen())
+				time.Sleep(5 * time.Second)
+				for _, call := range f.runners.seen()[sent:] {
+					if call[0] != 'r' {
+						t.Errorf("%s after the caller left", call)
+					}
+				}
+				if c.then != "" && f.runners.count(c.then) != 1 {
+					t.Errorf("%s was not called: %v", c.then, f.runners.seen())
+				}
+			})
+		})
+	}
+}
+
+// TestCallerTakesNothing ends a stream whose caller cannot be written to.
+func TestCallerTakesNothing(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		refusal := g.Forward(context.Background(), testMessage("/stream/1"), &callerSink{fail: errors.New("gone")})
+		if refusal == nil || refusal.Ran == contract.RanNo {
+			t.Errorf("%v, want a refusal of a request that ran", refusal)
+		}
+	})
+}
+
+// TestDeadline hands on no more time than is left, and answers when it is over.
+func TestDeadline(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.runners.queue("prefill", answer{result: good.result, takes: 400 * time.Millisecond})
+		f.runners.queue("stream", hanging)
+		m := testMessage("/stream/1")
+		m.Patience = 3 * time.Second
+		began := time.Now()
+		refusal := g.Forward(context.Background(), m, &callerSink{})
+		checkRefusal(t, refusal, contract.CodeDeadline, contract.RanUnknown)
+		if took := time.Since(began); took != 3*time.Second {
+			t.Errorf("answered after %v", took)
+		}
+		if within := f.runners.last("stream").Within; within > 2600*time.Millisecond {
+			t.Errorf("%v handed on", within)
+		}
+	})
+}
+
+func TestKeys(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		for key, want := range map[string]contract.Code{"key": "", "other": contract.CodeKeyInvalid, "": contract.CodeKeyInvalid} {
+			m := plainMessage("/read/1")
+			m.Key = key
+			checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), want, contract.RanNo)
+		}
+		m := plainMessage("/open/1")
+		m.Key = "other"
+		checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		if account := f.runners.last("call").Account; account != "" {
+			t.Errorf("an open route is charged to %s", account)
+		}
+		f.registry.change(func() {
+			f.registry.config = testConfig(2)
+			f.registry.config.Keys = nil
+		})
+		synctest.Wait()
+		checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), contract.CodeKeyInvalid, contract.RanNo)
+	})
+}
+
+func TestQuota(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		m := testMessage("/stream/1")
+		m.Prompt, m.MaxOutput = 9000, 1000
+		checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		refusal := g.Forward(context.Background(), m, &callerSink{})
+		checkRefusal(t, refusal, contract.CodeRateLimited, contract.RanNo)
+		if refusal.After < minReturn {
+			t.Errorf("come back after %v", refusal.After)
+		}
+		time.Sleep(refusal.After)
+		checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+	})
+}
+
+// TestQuarantine refuses a request that was there when two upstreams crashed.
+func TestQuarantine(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		for _, id := range []upstream.ID{"d1", "d2"} {
+			f.runners.unreachable[id] = true
+		}
+		f.runners.queue("stream", broken, broken)
+		m := testMessage("/resumable/1")
+		if refusal := g.Forward(context.Background(), m, &callerSink{}); refusal == nil {
+			t.Error("a request that crashed two upstreams was answered")
+		}
+		synctest.Wait()
+		checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), contract.CodeQuarantined, contract.RanNo)
+		other := testMessage("/resumable/1")
+		other.Body = []byte("another")
+		if refusal := g.Forward(context.Background(), other, &callerSink{}); refusal != nil && refusal.Code == contract.CodeQuarantined {
+			t.Error("another request is refused with it")
+		}
+	})
+}
+
+// TestShutdown serves on while the balancer learns of it, then refuses.
+func TestShutdown(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		g.Drain()
+		if g.Ready() {
+			t.Error("ready while draining")
+		}
+		checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), "", contract.RanNo)
+		g.StopTaking()
+		checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), contract.CodeDraining, contract.RanNo)
+	})
+}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -179,12 +179,13 @@
 	}
 	r.cancel()
 	if g.unpark(h, r) {
-		return g.finish(h, r, r.over())
+		return g.finish(h, r, g.stopped(h, r))
 	}
 	return nil
 }
 
-// over is the refusal of a request whose time has ended or whose caller left.
+// over is the refusal of a request whose time has ended or whose caller left; the
+// request's lock is held.
 func (r *request) over() *contract.Refusal {
 	if r.gone {
 		return &contract.Refusal{Code: contract.CodeCanceled, Reason: "the caller left"}
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -85,6 +85,9 @@
 		return append(effects, g.answered(h, r, answer, result)...)
 	case runner.Broken:
 		r.ran = contract.RanUnknown
+		if r.events > 0 {
+			r.ran = contract.RanYes
+		}
 	}
 	g.logAttempt(r, "stream", choice, result)
 	if refusal := g.stopped(h, r); refusal != nil {
