--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -57,10 +57,10 @@
 	g.metrics.ended(r, refusal, now)
 	args := []any{
 		"request", r.message.ID, "route", r.route.Name, "account", r.accountID(), "took_ms", took.Milliseconds(),
-		"attempts", r.attempts, "reads", r.reads, "events", r.events, "ran", r.ran.String(), "config", r.version,
+		"caller_waits_ms", r.message.Patience.Milliseconds(), "attempts", r.attempts, "reads", r.reads, "events", r.events, "ran", r.ran.String(), "config", r.version,
 	}
 	if !r.firstAt.IsZero() {
-		args = append(args, "first_ms", r.firstAt.Sub(r.arrived).Milliseconds())
+		args = append(args, "first_ms", r.firstAt.Sub(r.arrived).Milliseconds(), "gap_ms", r.longestGap.Milliseconds())
 	}
 	if refusal == nil {
 		g.log.Info(string(eventEnded), append(args, "outcome", "answered")...)
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -41,7 +41,7 @@
 	may := false
 	g.board.With(h, func(b **roster.Board) { may = (*b).MayRead(r.service, r.message.Prompt, processes) })
 	if !may {
-		return append(g.asked(h, r.service, false), g.park(h, r)...)
+		return append(g.asked(h, r.service, false), g.park(h, r, waitBacklog)...)
 	}
 	choices := g.choose(h, now, r, upstream.RoleDecode, nil)
 	if len(choices) > MaxAsks {
@@ -49,7 +49,7 @@
 	}
 	if len(choices) == 0 {
 		r.exclude = nil
-		return append(g.asked(h, r.service, false), g.park(h, r)...)
+		return append(g.asked(h, r.service, false), g.park(h, r, waitRoom)...)
 	}
 	ttl := ReserveFor
 	if engine := g.engine(h, r.service); engine != nil && engine.MaxReservation > 0 {
@@ -116,7 +116,7 @@
 	})
 	if choice == nil {
 		effects := g.asked(h, r.service, false)
-		return append(effects, g.park(h, r)...)
+		return append(effects, g.park(h, r, waitRoom)...)
 	}
 	live := g.live(h, r, func() {
 		r.place, r.held, r.reservation = choice, tokens, id
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -42,6 +42,8 @@
 	place       *roster.Choice
 	reservation string
 	held        contract.Tokens
+	// waitsFor is what it waited for last.
+	waitsFor string
 	// reader is the prefill engine that read the prompt last.
 	reader *roster.Choice
 	// attempts counts the upstreams to which the request was sent, ran says
@@ -55,13 +57,16 @@
 	saved *runner.Answer
 
 	// Written by the effect in flight.
-	begun     bool
-	gone      bool
-	last      string
-	firstAt   time.Time
-	events    int
-	placedAt  time.Time
-	prefillAt time.Time
+	begun   bool
+	gone    bool
+	last    string
+	firstAt time.Time
+	eventAt time.Time
+	events  int
+	// longestGap is the longest pause between two events.
+	longestGap time.Duration
+	placedAt   time.Time
+	prefillAt  time.Time
 }
 
 // accountID names the account, empty on open routes.
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -58,9 +58,13 @@
 
 // Event implements runner.StreamReceiver.
 func (d *delivery) Event(e runner.Event) error {
+	now := d.g.clock.Now()
 	if d.r.events == 0 {
-		d.r.firstAt = d.g.clock.Now()
+		d.r.firstAt = now
+	} else {
+		d.r.longestGap = max(d.r.longestGap, now.Sub(d.r.eventAt))
 	}
+	d.r.eventAt = now
 	if err := d.r.sink.Write(e.Raw); err != nil {
 		return err
 	}
--- a/instance/gateway/wait.go
+++ b/instance/gateway/wait.go
@@ -21,6 +21,13 @@
 	MaxWait = 300 * time.Millisecond
 )
 
+// What a request waits for.
+const (
+	waitBehind  = "those before it"
+	waitBacklog = "prefill engines to catch up"
+	waitRoom    = "room at a decode engine"
+)
+
 // waitList is the requests of one service that wait for a place, in the order of
 // their arrival. Only the first of them asks engines, so that full engines are
 // asked once and not by everybody.
@@ -47,7 +54,7 @@
 		behind = len(list(*lists, r.service).queue) > 0
 	})
 	if behind {
-		return g.park(h, r)
+		return g.park(h, r, waitBehind)
 	}
 	return g.reserve(h, r)
 }
@@ -63,13 +70,17 @@
 
 // park puts a request into its service's wait list, or refuses it if it has
 // waited long enough.
-func (g *Gateway) park(h *table.Held, r *request) []pool.Effect {
+func (g *Gateway) park(h *table.Held, r *request, why string) []pool.Effect {
 	if refusal := g.stopped(h, r); refusal != nil {
 		return g.finish(h, r, refusal)
 	}
 	now := g.clock.Now()
+	if r.waitsFor != why {
+		r.waitsFor = why
+		g.log.Info(string(eventParked), "request", r.message.ID, "for", why, "patience_ms", r.patience(now).Milliseconds())
+	}
 	if r.patience(now) <= 0 {
-		return g.finish(h, r, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no decode engine has room"))
+		return g.finish(h, r, g.noRoom(r))
 	}
 	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
 		l := list(*lists, r.service)
@@ -83,6 +94,11 @@
 	return nil
 }
 
+// noRoom is the refusal of a request that waited long enough.
+func (g *Gateway) noRoom(r *request) *contract.Refusal {
+	return contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no time left to wait for "+r.waitsFor)
+}
+
 // unpark takes a request out of its wait list and reports whether it was there.
 func (g *Gateway) unpark(h *table.Held, r *request) (found bool) {
 	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
@@ -117,11 +133,11 @@
 	})
 	var effects []pool.Effect
 	for _, r := range tired {
-		if refusal := g.stopped(h, r); refusal != nil {
-			effects = append(effects, g.finish(h, r, refusal)...)
-			continue
+		refusal := g.stopped(h, r)
+		if refusal == nil {
+			refusal = g.noRoom(r)
 		}
-		effects = append(effects, g.finish(h, r, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no decode engine has room"))...)
+		effects = append(effects, g.finish(h, r, refusal)...)
 	}
 	return append(effects, g.roomFreed(h, service)...)
 }
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -228,7 +228,7 @@
 // PrefillBacklog is the work that may wait at a prefill engine, as the time to
 // read it. Prompts that wait longer outlast the reservation of their decode
 // place, upon which engines grant the same memory twice.
-const PrefillBacklog = 400 * time.Millisecond
+const PrefillBacklog = 800 * time.Millisecond
 
 // rateDecay lets the fastest reading seen fade, so that a fleet whose engines
 // turn slow is noticed within some hundred prompts.
