--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -32,6 +32,8 @@
 	relay.Peer
 	// heard is when it last told or answered something, zero if never.
 	heard time.Time
+	// named is when it was first heard of.
+	named time.Time
 	// told is when it was last told something.
 	told time.Time
 	lost bool
@@ -75,7 +77,7 @@
 		known, ok := m.peers[p.Name]
 		switch {
 		case !ok:
-			m.peers[p.Name] = &member{Peer: p, told: now.Add(-ForgetAfter)}
+			m.peers[p.Name] = &member{Peer: p, named: now, told: now.Add(-ForgetAfter)}
 		case p.Incarnation > known.Incarnation:
 			known.Peer = p
 		}
@@ -94,12 +96,29 @@
 	return lost
 }
 
-// processes counts the gateways that were heard lately, this one among them.
+// processes counts the gateways that were heard lately, this one among them. One
+// that was named and not heard yet counts too: after a restart of all of them
+// nobody has heard anybody.
 func (g *Gateway) processes(h *table.Held, now time.Time) (n int) {
-	g.members.With(h, func(m **members) { n = len((*m).known(now)) + 1 })
+	n = 1
+	g.members.With(h, func(m **members) {
+		for _, p := range (*m).peers {
+			if now.Sub(p.lastSign()) < ForgetAfter {
+				n++
+			}
+		}
+	})
 	return n
 }
 
+// lastSign is when a peer was heard, or named if it was not heard yet.
+func (p *member) lastSign() time.Time {
+	if p.heard.IsZero() {
+		return p.named
+	}
+	return p.heard
+}
+
 // known lists the peers that were heard lately.
 func (m *members) known(now time.Time) []relay.Peer {
 	var out []relay.Peer
@@ -170,7 +189,7 @@
 				p.lost = true
 				lost = append(lost, p.Peer)
 			}
-			if !p.heard.IsZero() && silent > ForgetAfter {
+			if now.Sub(p.lastSign()) > ForgetAfter {
 				delete((*m).peers, name)
 				gone = append(gone, name)
 			}
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -238,12 +238,28 @@
 // shorter ones are mostly overhead.
 const leastPrompt = 500
 
+// The part of the backlog that this process uses shrinks by a factor with each
+// prompt that waited longer than the backlog allows and grows by a step with each
+// other one, so that the wait comes down also if more processes send than are
+// known, or engines turn slow.
+const (
+	backlogShrinks = 0.7
+	backlogGrows   = 0.05
+	leastBacklog   = 0.1
+)
+
 // Read notes how long an engine took for a prompt.
 func (b *Board) Read(prompt contract.Tokens, took time.Duration) {
 	if prompt < leastPrompt || took <= 0 {
 		return
 	}
 	b.readRate = max(float64(prompt)/took.Seconds(), b.readRate*rateDecay)
+	alone := time.Duration(float64(prompt) / b.readRate * float64(time.Second))
+	if took-alone > PrefillBacklog {
+		b.backlogPart = max(leastBacklog, b.backlogPart*backlogShrinks)
+	} else {
+		b.backlogPart = min(1, b.backlogPart+backlogGrows)
+	}
 }
 
 // MayRead reports whether one of a number of processes may send another prompt
@@ -260,6 +276,6 @@
 	if sent == 0 {
 		return true
 	}
-	all := PrefillBacklog.Seconds() * b.readRate * float64(engines)
+	all := PrefillBacklog.Seconds() * b.backlogPart * b.readRate * float64(engines)
 	return float64(sent+prompt) <= all/float64(max(1, processes))
 }
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -77,6 +77,8 @@
 	// readRate is the fastest reading of a prompt seen lately, in tokens a
 	// second.
 	readRate float64
+	// backlogPart is the part of the backlog at prefill engines that is used.
+	backlogPart float64
 	// turn breaks ties between equal upstreams.
 	turn uint64
 }
@@ -88,6 +90,8 @@
 		upstreams: make(map[upstream.ID]*Upstream),
 		groups:    make(map[group]*health.Group),
 		readRate:  split.DefaultDemand.ReadRate(),
+
+		backlogPart: 1,
 	}
 }
 
