--- a/contract/quota/quota.go
+++ b/contract/quota/quota.go
@@ -105,7 +105,8 @@
 		return d
 	}
 	d.Granted = false
-	d.After = time.Duration((needed - b.level) / (account.Quota.PerSecond * share) * float64(time.Second))
+	after := time.Duration((needed - b.level) / (m.perSecond(account) * share) * float64(time.Second))
+	d.After = after.Truncate(time.Millisecond) + time.Millisecond
 	return d
 }
 
@@ -137,13 +138,19 @@
 		m.local[account.ID] = b
 	}
 	if now.After(b.at) {
-		b.level += now.Sub(b.at).Seconds() * account.Quota.PerSecond * share
+		b.level += now.Sub(b.at).Seconds() * m.perSecond(account) * share
 		b.at = now
 	}
 	b.level = min(b.level, account.Quota.Burst)
 	return b, share
 }
 
+// perSecond is what an account may use in the long run: its rate and burst over
+// each window, since a quota is judged by windows.
+func (m *Meter) perSecond(account *directory.Account) float64 {
+	return account.Quota.PerSecond + account.Quota.Burst/m.options.Window.Seconds()
+}
+
 // share is the part of a rate that may be spent here: all of it as far as peers
 // are heard, less an even part for each silent one.
 func (m *Meter) share(now time.Time) float64 {
