--- a/instance/gateway/fleet_test.go
+++ b/instance/gateway/fleet_test.go
@@ -94,6 +94,8 @@
 			draining.Draining = true
 			f.registry.list["s1"] = draining
 		})
+		// Changes that come close to each other are gathered.
+		time.Sleep(ListPause)
 		synctest.Wait()
 		for range 20 {
 			checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), "", contract.RanNo)
--- a/instance/gateway/wait.go
+++ b/instance/gateway/wait.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,9 +29,10 @@
 	waitRoom    = "room at a decode engine"
 )
 
-// waitList is the requests of one service that wait for a place, in the order of
-// their arrival. Only the first of them asks engines, so that full engines are
-// asked once and not by everybody.
+// waitList is the requests of one service that wait for a place, the smallest
+// first: it fits where others do not, and ends soonest. Nobody waits longer than
+// the first event allows, so large ones are not held up for long. Only the first
+// of them asks engines, so that full engines are asked once and not by everybody.
 type waitList struct {
 	queue []*request
 	// asking says that the first one is being placed, armed that a timer runs.
@@ -84,7 +86,7 @@
 	}
 	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) {
 		l := list(*lists, r.service)
-		at, _ := slices.BinarySearchFunc(l.queue, r, func(a, b *request) int { return a.arrived.Compare(b.arrived) })
+		at, _ := slices.BinarySearchFunc(l.queue, r, func(a, b *request) int { return cmp.Compare(a.tokens(), b.tokens()) })
 		l.queue = slices.Insert(l.queue, at, r)
 		if !l.armed {
 			l.armed = true
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -16,10 +16,13 @@
 
 // Times of reading the registry.
 const (
-	// WatchFor is how long one watch waits for changes. A watch that went
-	// silent is found within it, so it is a few times the time in which a
-	// change has to be in force.
-	WatchFor = 5 * time.Second
+	// WatchFor is how long one watch waits for changes. Connections that go
+	// silent are found sooner, by probes of their own.
+	WatchFor = 10 * time.Second
+	// ListPause gathers changes of the list of upstreams that come close to each
+	// other: each answered watch is paid for, and a change has to be in force
+	// within two seconds.
+	ListPause = 300 * time.Millisecond
 	// WatchSlack is added for the answer to arrive.
 	WatchSlack = 700 * time.Millisecond
 	// ReadTimeout bounds a read.
@@ -154,6 +157,10 @@
 		return nil
 	}
 	g.list(h, list, "registry")
+	if len(list.Present)+len(list.Gone) > 0 {
+		g.pool.After(ListPause, g.watchUpstreams)
+		return nil
+	}
 	return g.watchUpstreams(h)
 }
 
