--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -103,7 +103,8 @@
 	board    *table.Single[*roster.Board]
 	suspects *table.Single[*quarantine.Table]
 	duty     *table.Single[*duty]
-	retries  *table.Single[*retry.Budget]
+	// retries are the budgets of each service.
+	retries *table.Single[map[directory.ServiceName]*retry.Budget]
 }
 
 // configuration is what the process knows of the configuration.
@@ -146,7 +147,7 @@
 		board:    table.NewSingle(table.RankBoard, roster.NewBoard(o.Self.Place)),
 		suspects: table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		duty:     table.NewSingle(table.RankOrders, &duty{}),
-		retries:  table.NewSingle(table.RankStats, retry.NewBudget(o.Retries)),
+		retries:  table.NewSingle(table.RankStats, make(map[directory.ServiceName]*retry.Budget)),
 	}
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.pool = pool.New(pool.Options{
--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -339,3 +340,24 @@
 		checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), contract.CodeDraining, contract.RanNo)
 	})
 }
+
+// TestBudgetsAreApart checks that requests of one service earn no retries at
+// another.
+func TestBudgetsAreApart(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		for range 200 {
+			g.Forward(context.Background(), plainMessage("/open/1"), &callerSink{})
+		}
+		f.runners.queue("stream", slices.Repeat([]answer{broken}, 200)...)
+		const streams = 60
+		for range streams {
+			m := testMessage("/resumable/1")
+			m.Prompt, m.MaxOutput = 0, 0
+			g.Forward(context.Background(), m, &callerSink{})
+		}
+		// A fifth of the streams and the floor of the budget.
+		if extra := f.runners.count("stream") - streams; extra > streams/5+20 {
+			t.Errorf("%d retries for %d streams", extra, streams)
+		}
+	})
+}
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -102,7 +102,7 @@
 			case runner.Answered:
 			case runner.Rejected:
 				if a.result.Misdirected {
-					(*b).Down(now, a.choice)
+					(*b).Misdirected(now, a.choice)
 				} else {
 					(*b).Full(now, a.choice)
 				}
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -68,7 +68,9 @@
 			(*b).Succeeded(now, choice, took, result.Load)
 			(*b).Read(prompt, now.Sub(r.prefillAt))
 		case ended:
-		case result.Refused, result.Misdirected, result.Reach == runner.NotSent:
+		case result.Misdirected:
+			(*b).Misdirected(now, choice)
+		case result.Refused, result.Reach == runner.NotSent:
 			(*b).Down(now, choice)
 		case result.Reach == runner.Rejected:
 			(*b).Full(now, choice)
@@ -85,7 +87,7 @@
 	r.failed(choice.ID)
 	if result.Reach == runner.Rejected {
 		// Rejected readings count as attempts, unlike the first accepted one.
-		g.retries.With(h, func(b **retry.Budget) { (*b).Spend() })
+		g.budget(h, r.service, (*retry.Budget).Spend)
 	}
 	effects := g.roomFreed(h, r.service)
 	if result.Reach == runner.Broken && !ended {
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -58,7 +58,7 @@
 		return nil
 	}
 	g.insert(h, r)
-	g.retries.With(h, func(b **retry.Budget) { (*b).First() })
+	g.budget(h, r.service, (*retry.Budget).First)
 	answer(admission{request: r})
 	if r.route.Kind == directory.Stream {
 		return g.arrive(h, r)
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -7,7 +7,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
-	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -132,7 +131,9 @@
 		case result.Reach == runner.Answered && result.Status < 500:
 			(*b).Succeeded(now, choice, g.perEvent(r, now), result.Load)
 		case ended:
-		case result.Refused, result.Misdirected, result.Reach == runner.NotSent:
+		case result.Misdirected:
+			(*b).Misdirected(now, choice)
+		case result.Refused, result.Reach == runner.NotSent:
 			(*b).Down(now, choice)
 		case result.Reach == runner.Rejected:
 			(*b).Full(now, choice)
@@ -194,14 +195,6 @@
 // maxSends bounds the upstreams to which a request is sent that none runs.
 const maxSends = 4
 
-// mayRetry takes one attempt from the budget of retries.
-func (g *Gateway) mayRetry(h *table.Held, r *request, ran contract.Ran) (allowed bool) {
-	now := g.clock.Now()
-	refusal := &contract.Refusal{Ran: ran}
-	g.retries.With(h, func(b **retry.Budget) { allowed = (*b).Allow(now, refusal, r.route.Repeatable()) })
-	return allowed
-}
-
 // refusalAfter is the refusal of a request whose last attempt failed.
 func (g *Gateway) refusalAfter(r *request, result runner.Result) *contract.Refusal {
 	switch {
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -10,7 +10,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
-	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -230,8 +229,6 @@
 	var changes []roster.Change
 	g.board.With(h, func(b **roster.Board) { changes = (*b).Expire(now) })
 	g.logChanges(changes, "lapse", 0)
-	processes := g.processes(h, now)
-	g.retries.With(h, func(b **retry.Budget) { (*b).Among(processes) })
 	g.pool.After(SweepEvery, g.tick)
 	return g.tellPeers(h)
 }
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -204,6 +204,13 @@
 	}
 }
 
+// Misdirected notes that another upstream answered at the address.
+func (b *Board) Misdirected(now time.Time, c Choice) {
+	if u := b.find(c); u != nil {
+		u.downUntil = now.Add(MisdirectedFor)
+	}
+}
+
 // Failed notes a failure of an upstream.
 func (b *Board) Failed(now time.Time, c Choice) {
 	if u := b.find(c); u != nil {
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -29,6 +29,9 @@
 	// KeepsBadlyFor is how long an engine that lost a KV cache reads prompts
 	// only if no other one can.
 	KeepsBadlyFor = 2 * time.Second
+	// MisdirectedFor is how long an upstream at whose address another one
+	// answered gets no work, unless it registers anew: it has moved or is gone.
+	MisdirectedFor = 10 * time.Second
 	// LapseGrace is how long an upstream whose registration ended while the
 	// registry was away is kept after its return; live ones are back by then.
 	LapseGrace = 2 * time.Second
--- a/upstream/roster/roster_test.go
+++ b/upstream/roster/roster_test.go
@@ -60,6 +60,7 @@
 			b.Apply(start, registry.Upstreams{Version: 2, Whole: true, Present: []registry.Record{decode("b")}})
 		}},
 		{"down", func(b *Board, c Choice) { b.Down(start, c) }},
+		{"answered by another one", func(b *Board, c Choice) { b.Misdirected(start, c) }},
 		{"changing its role", func(b *Board, _ Choice) { b.Turning("a", start.Add(time.Second)) }},
 		{"dishonoring reservations", func(b *Board, c Choice) {
 			for range maxRejects {
@@ -217,3 +218,19 @@
 		t.Error("a count that is out of date still speaks against an upstream")
 	}
 }
+
+// TestMisdirected leaves an upstream out until it registers anew.
+func TestMisdirected(t *testing.T) {
+	b := board(decode("a"))
+	b.Misdirected(start, choice(t, b, "a"))
+	later := start.Add(MisdirectedFor / 2)
+	if len(b.Choose(later, need)) != 0 {
+		t.Error("an upstream whose address belongs to another one gets work")
+	}
+	r := decode("a")
+	r.Addr, r.Born = "b:1", 7
+	b.Apply(later, registry.Upstreams{Version: 2, Present: []registry.Record{r}})
+	if len(b.Choose(later, need)) != 1 {
+		t.Error("an upstream that registered anew gets no work")
+	}
+}
