Keep quotas through restarts of the whole fleet

After many gateways were killed at once each began with a full burst and took itself for the only one. A gateway now starts with its part of the overdraft, counts gateways that were named and not heard as silent, uses at most twice an even part of an account's tokens in a round, and is ready only once it asked for the others. Each round tells 13 peers, so that 26 gateways hear each other in time.

--- a/contract/quota/quota.go
+++ b/contract/quota/quota.go
@@ -29,6 +29,10 @@
 	Usage       Usage
 }
 
+// unevenness is how much more than an even part of an account's tokens a process
+// may use in one round, before the others hear of it. Callers are spread unevenly.
+const unevenness = 2
+
 // HeardWithin is the age above which a peer's figures count as unknown: three
 // rounds of exchange.
 const HeardWithin = 1500 * time.Millisecond
@@ -42,6 +46,8 @@
 	Overdraft float64
 	// Incarnation is this process's own.
 	Incarnation instance.Incarnation
+	// Start is when the process started.
+	Start time.Time
 }
 
 // Meter is what one process knows of the accounts' usage.
@@ -52,6 +58,8 @@
 	own      Usage
 	peers    map[Peer]*peer
 	local    map[contract.AccountID]*bucket
+	// processes is how many processes the fleet is said to have.
+	processes int
 }
 
 // peer is what was heard from another process.
@@ -65,6 +73,9 @@
 type bucket struct {
 	level float64
 	at    time.Time
+	// unstated is what was used here in this round, which peers have not heard
+	// of; allowed bounds it.
+	unstated, allowed float64
 }
 
 // NewMeter returns an empty meter.
@@ -95,17 +106,19 @@
 		return d
 	}
 	b, share := m.fill(now, account)
+	ahead := m.all() > 1 && b.unstated > 0 && b.unstated+cost > b.allowed
 	d.Silent = m.silent(now)
 	d.Level = b.level
 	// A request larger than the burst passes when the bucket is full.
 	needed := min(cost, account.Quota.Burst) - m.overdraft(account)
-	if b.level >= needed {
+	if b.level >= needed && !ahead {
 		b.level -= cost
+		b.unstated += cost
 		m.own[account.ID] += cost
 		return d
 	}
 	d.Granted = false
-	after := time.Duration((needed - b.level) / (m.perSecond(account) * share) * float64(time.Second))
+	after := time.Duration(max(0, needed-b.level) / (m.perSecond(account) * share) * float64(time.Second))
 	d.After = after.Truncate(time.Millisecond) + time.Millisecond
 	return d
 }
@@ -125,6 +138,7 @@
 		return
 	}
 	b.level += cost
+	b.unstated -= cost
 	m.own[account] -= cost
 }
 
@@ -134,7 +148,13 @@
 	share := m.share(now)
 	b, ok := m.local[account.ID]
 	if !ok {
-		b = &bucket{level: account.Quota.Burst, at: now}
+		// What the fleet used before this process started may have been all, and
+		// others that started with it know as little.
+		overdraft := m.overdraft(account)
+		b = &bucket{level: overdraft/float64(m.all()) - overdraft, at: m.options.Start}
+		if b.at.IsZero() {
+			b.at = now
+		}
 		m.local[account.ID] = b
 	}
 	if now.After(b.at) {
@@ -142,6 +162,9 @@
 		b.at = now
 	}
 	b.level = min(b.level, account.Quota.Burst)
+	if !ok {
+		b.allowed = m.part(b.level + m.overdraft(account))
+	}
 	return b, share
 }
 
@@ -154,18 +177,37 @@
 // share is the part of a rate that may be spent here: all of it as far as peers
 // are heard, less an even part for each silent one.
 func (m *Meter) share(now time.Time) float64 {
-	all := len(m.peers) + 1
-	return float64(all-m.silent(now)) / float64(all)
+	return float64(m.all()-m.silent(now)) / float64(m.all())
+}
+
+// all counts the processes, those that were not heard yet among them.
+func (m *Meter) all() int {
+	return max(m.processes, len(m.peers)+1)
 }
 
 func (m *Meter) silent(now time.Time) int {
-	silent := 0
+	heard := 1
 	for _, p := range m.peers {
-		if now.Sub(p.heard) > HeardWithin {
-			silent++
+		if now.Sub(p.heard) <= HeardWithin {
+			heard++
 		}
 	}
-	return silent
+	return m.all() - heard
+}
+
+// part is what one process may use of some tokens before the others hear of it.
+func (m *Meter) part(tokens float64) float64 {
+	return max(0, tokens) * min(1, unevenness/float64(m.all()))
+}
+
+// Round begins a round: peers are told now what was used before. processes is how
+// many of them the fleet is said to have.
+func (m *Meter) Round(processes int) {
+	m.processes = processes
+	for _, b := range m.local {
+		b.unstated = 0
+		b.allowed = m.part(b.level + m.options.Overdraft)
+	}
 }
 
 // Own states what this process admitted, to be told to peers.
--- a/contract/quota/quota_test.go
+++ b/contract/quota/quota_test.go
@@ -16,9 +16,17 @@
 
 var start = time.Unix(1000, 0)
 
-func TestAdmitAlone(t *testing.T) {
+// full returns a meter whose bucket of an account is full at start.
+func full(a *directory.Account) *Meter {
 	m := NewMeter(Options{Window: 8 * time.Second})
+	m.Admit(start.Add(-time.Minute), a, 0)
+	m.Admit(start, a, 0)
+	return m
+}
+
+func TestAdmitAlone(t *testing.T) {
 	a := account(1000, 2000)
+	m := full(a)
 	for i := range 2 {
 		if d := m.Admit(start, a, 1000); !d.Granted {
 			t.Fatalf("request %d within the burst was refused", i)
@@ -35,8 +43,8 @@
 }
 
 func TestLargerThanBurst(t *testing.T) {
-	m := NewMeter(Options{Window: 8 * time.Second})
 	a := account(1000, 2000)
+	m := full(a)
 	if d := m.Admit(start, a, 5000); !d.Granted {
 		t.Error("a request larger than the burst never passes")
 	}
@@ -53,8 +61,8 @@
 }
 
 func TestRefund(t *testing.T) {
-	m := NewMeter(Options{Window: 8 * time.Second})
 	a := account(1000, 1000)
+	m := full(a)
 	m.Admit(start, a, 1000)
 	m.Refund(a.ID, 1000)
 	if d := m.Admit(start, a, 1000); !d.Granted {
@@ -70,8 +78,9 @@
 	}
 	base, first, second := say(1, 1000), say(2, 1200), say(3, 1500)
 	for _, order := range [][]Statement{{first, second}, {second, first}, {second, second, first}} {
-		m := NewMeter(Options{Window: 8 * time.Second})
 		a := account(1, 10_000)
+		m := NewMeter(Options{Window: 8 * time.Second})
+		m.Admit(start.Add(-100*time.Hour), a, 0)
 		m.Admit(start, a, 0)
 		m.Heard(start, "p", base)
 		for _, s := range order {
@@ -84,8 +93,9 @@
 }
 
 func TestHeardAfterRestart(t *testing.T) {
-	m := NewMeter(Options{Window: 8 * time.Second})
 	a := account(1, 10_000)
+	m := NewMeter(Options{Window: 8 * time.Second})
+	m.Admit(start.Add(-100*time.Hour), a, 0)
 	m.Admit(start, a, 0)
 	m.Heard(start, "p", Statement{Incarnation: 1, Sequence: 9, Usage: Usage{"a": 5000}})
 	m.Heard(start, "p", Statement{Incarnation: 2, Sequence: 1, Usage: Usage{"a": 300}})
@@ -97,8 +107,8 @@
 // TestSilentPeersKeepTheirShare checks that parts of a fleet that do not hear each
 // other together stay within the rate.
 func TestSilentPeersKeepTheirShare(t *testing.T) {
-	m := NewMeter(Options{Window: 8 * time.Second})
 	a := account(1000, 1000)
+	m := full(a)
 	m.Heard(start, "p", Statement{Incarnation: 1, Sequence: 1})
 	m.Admit(start, a, 1000)
 	later := start.Add(2 * HeardWithin)
@@ -120,13 +130,15 @@
 		window    = 8 * time.Second
 		step      = 20 * time.Millisecond
 		slack     = 190_000.0
+		overdraft = 0.3 * slack
 	)
 	for seed := range uint64(20) {
 		random := rand.New(rand.NewPCG(seed, 1))
 		a := account(47_000, 47_000)
 		var meters []*Meter
 		for i := range processes {
-			meters = append(meters, NewMeter(Options{Window: window, Overdraft: 0.4 * slack, Incarnation: instance.Incarnation(i + 1)}))
+			meters = append(meters, NewMeter(Options{Window: window, Overdraft: overdraft, Incarnation: instance.Incarnation(i + 1), Start: start.Add(-10 * time.Second)}))
+			meters[i].Round(processes)
 		}
 		type grant struct {
 			at   time.Time
@@ -135,6 +147,7 @@
 		var grants []grant
 		hears := func(now time.Time) {
 			for i, from := range meters {
+				from.Round(processes)
 				s := from.Own()
 				for j, to := range meters {
 					if i != j && random.Float64() < 0.9 {
@@ -144,10 +157,18 @@
 			}
 		}
 		hears(start)
+		restarted := start.Add(time.Duration(8+random.IntN(20)) * time.Second)
 		for now := start; now.Before(start.Add(40 * time.Second)); now = now.Add(step) {
 			if now.Sub(start)%(500*time.Millisecond) == 0 {
 				hears(now)
 			}
+			if now.Equal(restarted) {
+				// All processes are killed and know nothing of before.
+				for i := range meters {
+					meters[i] = NewMeter(Options{Window: window, Overdraft: overdraft, Incarnation: instance.Incarnation(100 + i), Start: now})
+					meters[i].Round(processes)
+				}
+			}
 			for range 4 {
 				cost := 1000 + 5000*random.Float64()
 				if meters[random.IntN(processes)].Admit(now, a, cost).Granted {
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -132,6 +132,7 @@
 		o.MaxRequests = DefaultMaxRequests
 	}
 	o.Quota.Incarnation = o.Self.Incarnation
+	o.Quota.Start = o.Clock.Now()
 	g := &Gateway{
 		options:  o,
 		runners:  o.Runners,
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -23,8 +23,9 @@
 	// ForgetAfter is when a peer that was not heard is taken to be gone.
 	ForgetAfter = 15 * time.Second
 	// MaxExchanges bounds the peers told in one round; with more of them they
-	// take turns.
-	MaxExchanges = 8
+	// take turns. Half of some tens of gateways are told in each, so that all
+	// are heard within quota.HeardWithin.
+	MaxExchanges = 13
 )
 
 // member is one peer.
@@ -46,6 +47,8 @@
 	self  relay.Peer
 	seeds []string
 	peers map[instance.Name]*member
+	// entered says that the registry was asked for the other gateways.
+	entered bool
 	// listed is the registry's version up to which the list of upstreams is
 	// known.
 	listed uint64
@@ -161,6 +164,8 @@
 const enterAgainAfter = 3 * time.Second
 
 func (g *Gateway) entered(h *table.Held, entries []registry.Entry, err error) []pool.Effect {
+	g.members.With(h, func(m **members) { (*m).entered = true })
+	defer g.becomeReady(h)
 	if err != nil {
 		g.log.Warn(string(eventEnterFailed), "error", err)
 		g.pool.After(enterAgainAfter, g.enter)
--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -113,6 +113,7 @@
 				f := testFleet()
 				g := f.start(t, "g1")
 				defer g.Close()
+				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				for kind, answers := range c.answers {
 					f.runners.queue(kind, answers...)
@@ -153,6 +154,8 @@
 		fleet := testFleet()
 		g := fleet.start(t, "g1")
 		defer g.Close()
+		// Quotas are full a second after the start.
+		time.Sleep(2 * time.Second)
 		synctest.Wait()
 		f(t, fleet, g)
 	})
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -127,6 +127,6 @@
 		return effects
 	}
 	g.log.Info(string(eventReserved), "request", r.message.ID, "upstream", choice.ID, "tokens", tokens,
-		"asked", len(asks), "load", asks[len(asks)-1].result.Load, "held_tokens", choice.Tokens, "waited_ms", now.Sub(r.arrived).Milliseconds())
+		"asked", len(asks), "held_tokens", choice.Tokens, "waited_ms", now.Sub(r.arrived).Milliseconds())
 	return append(effects, g.prefill(h, r)...)
 }
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
@@ -110,11 +111,14 @@
 	g.becomeReady(h)
 }
 
-// becomeReady opens the process once it knows a configuration and upstreams.
+// becomeReady opens the process once it knows a configuration and upstreams, and
+// has asked how many other gateways there are: quotas and backlogs are shared.
 func (g *Gateway) becomeReady(h *table.Held) {
 	upstreams := 0
 	g.board.With(h, func(b **roster.Board) { upstreams = (*b).Len() })
-	if g.snapshot(h) == nil || upstreams == 0 {
+	entered := false
+	g.members.With(h, func(m **members) { entered = (*m).entered })
+	if g.snapshot(h) == nil || upstreams == 0 || !entered {
 		return
 	}
 	if g.life.Advance(instance.Serving) {
@@ -229,6 +233,8 @@
 	var changes []roster.Change
 	g.board.With(h, func(b **roster.Board) { changes = (*b).Expire(now) })
 	g.logChanges(changes, "lapse", 0)
+	processes := g.processes(h, now)
+	g.quotas.With(h, func(q **quota.Meter) { (*q).Round(processes) })
 	g.pool.After(SweepEvery, g.tick)
 	return g.tellPeers(h)
 }
