--- a/cmd/trefoilctl/main.go
+++ b/cmd/trefoilctl/main.go
@@ -1,5 +1,6 @@
 // Command trefoilctl asks and commands a fleet in the operators' language: one
-// statement from its arguments, many from a file, or interactively.
+// statement from its arguments, many from a file, or interactively. It also
+// explains from saved logs what happened to a request.
 package main
 
 import (
@@ -12,6 +13,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/internal/explain"
 	"github.com/trefoilwalk/trefoilwalk/link/operator/shell"
 )
 
@@ -34,11 +36,14 @@
 	expect := app.Flag("expect", "Change only this revision.").Default("-1").Int64()
 	dryRun := app.Flag("dry-run", "Check and show changes, and change nothing.").Bool()
 	wait := app.Flag("wait", "Return when changes are in force everywhere, or after this time.").Duration()
-	words := app.Arg("statement", "A statement, or help, or version; none starts the terminal.").Strings()
+	words := app.Arg("statement", "A statement, or help, or version, or explain REQUEST-ID FILE...; none starts the terminal.").Strings()
 	if _, err := app.Parse(args); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "trefoilctl:", err)
 		return shell.ExitUsage
 	}
+	if len(*words) > 0 && (*words)[0] == "explain" {
+		return explainRequest((*words)[1:], *asJSON)
+	}
 	statement := strings.Join(*words, " ")
 	s := &shell.Shell{Out: os.Stdout, Err: os.Stderr, Format: shell.FormatTable, DryRun: *dryRun, Wait: *wait}
 	switch statement {
@@ -79,6 +84,19 @@
 	}
 }
 
+// explainRequest tells what happened to a request from the logs of gateways.
+func explainRequest(args []string, asJSON bool) int {
+	if len(args) < 2 {
+		_, _ = fmt.Fprintln(os.Stderr, "trefoilctl: explain REQUEST-ID FILE...")
+		return shell.ExitUsage
+	}
+	if err := explain.Run(os.Stdout, args[0], args[1:], asJSON); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "trefoilctl:", err)
+		return shell.ExitUsage
+	}
+	return shell.ExitOK
+}
+
 func runFile(ctx context.Context, s *shell.Shell, name string, atomic bool) int {
 	if name == "-" {
 		return s.File(ctx, os.Stdin, atomic)
