--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -12,7 +12,6 @@
 // Decisions that touch a request.
 const (
 	eventRefused       event = "request_refused"
-	eventAdmitted      event = "request_admitted"
 	eventParked        event = "request_parked"
 	eventReserved      event = "place_reserved"
 	eventPrefilled     event = "prompt_prefilled"
