Add a fault soak: gateways as processes, faults by a seeded plan

Checks from what callers and upstreams see: what runs once runs once, refusals that say not run are true, answers are whole and the caller's own, no key reaches an upstream, everything is served again within 12 s.

--- a/cmd/trefoil-dev/main.go
+++ b/cmd/trefoil-dev/main.go
@@ -23,6 +23,7 @@
 	addStandIns(app, commands)
 	addCapacity(app, commands)
 	addRates(app, commands)
+	addSoak(app, commands)
 	commands[app.Command("version", "Print the version.").FullCommand()] = printVersion
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// process is one gateway. It is started again whenever it ends.
+type process struct {
+	program, settings, log string
+	callers, peer          string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	closed  bool
+}
+
+// newProcess writes the settings of a gateway.
+func newProcess(o Options, number int, store string, others []*process) (*process, error) {
+	addrs := make([]string, 4)
+	for i := range addrs {
+		addr, err := freeAddr()
+		if err != nil {
+			return nil, err
+		}
+		addrs[i] = addr
+	}
+	var peers []string
+	for _, p := range others {
+		peers = append(peers, fmt.Sprintf("%q", p.peer))
+	}
+	name := fmt.Sprintf("gateway-%d", number)
+	text := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeer = %q\nmetrics = %q\nregistry = %q\n"+
+		"peers = [%s]\nmemory = \"128MB\"\nshutdown_limit = \"4s\"\n", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "))
+	p := &process{
+		program:  o.Gateway,
+		settings: filepath.Join(o.Dir, name+".toml"),
+		log:      filepath.Join(o.Dir, name+".log"),
+		callers:  addrs[0],
+		peer:     addrs[2],
+	}
+	return p, os.WriteFile(p.settings, []byte(text), 0o600)
+}
+
+// freeAddr finds a port that nobody listens on.
+func freeAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+func serveHTTP(h http.Handler) (*http.Server, string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, "", err
+	}
+	server := &http.Server{Handler: h, ErrorLog: quiet}
+	go func() { _ = server.Serve(l) }()
+	return server, l.Addr().String(), nil
+}
+
+// start runs the program and starts it again when it ends.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	command := exec.Command(p.program, "run", "--config", p.settings)
+	command.Stdout, command.Stderr = out, out
+	if err := command.Start(); err != nil {
+		_ = out.Close()
+		return err
+	}
+	ended := make(chan struct{})
+	p.command, p.ended = command, ended
+	go func() {
+		_ = command.Wait()
+		_ = out.Close()
+		close(ended)
+		_ = p.start()
+	}()
+	return nil
+}
+
+// signal sends a signal to the process that runs now.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil {
+		_ = p.command.Process.Signal(s)
+	}
+}
+
+// restart ends the process by SIGKILL or SIGTERM; a paused one wakes to end.
+func (p *process) restart(kill bool) {
+	if kill {
+		p.signal(syscall.SIGKILL)
+		return
+	}
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGCONT)
+}
+
+func (p *process) hangUp() { p.signal(syscall.SIGHUP) }
+func (p *process) wake()   { p.signal(syscall.SIGCONT) }
+
+// pause stops the process for a while.
+func (p *process) pause(d time.Duration) {
+	p.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, p.wake)
+}
+
+// kill ends the process for good.
+func (p *process) kill() {
+	p.mu.Lock()
+	p.closed = true
+	command, ended := p.command, p.ended
+	p.mu.Unlock()
+	if command != nil {
+		_ = command.Process.Kill()
+		<-ended
+	}
+}
+
+// quiet drops what servers say of connections that the soak breaks itself.
+var quiet = log.New(io.Discard, "", 0)
--- /dev/null
+++ b/internal/standin/userplatform/runner.go
@@ -0,0 +1,157 @@
+package userplatform
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Events is how many events a stream has.
+const Events = 12
+
+// eventEvery is the pause between two events of a stream.
+const eventEvery = 15 * time.Millisecond
+
+// Run is what runners saw of one request.
+type Run struct {
+	// Times counts how often it ran.
+	Times int
+	// Key says that a caller's key reached a runner, Account what account was
+	// named.
+	Key     bool
+	Account string
+}
+
+// Ledger records runs at all runners.
+type Ledger struct {
+	mu   sync.Mutex
+	runs map[string]Run
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{runs: make(map[string]Run)}
+}
+
+func (l *Ledger) note(q *http.Request) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.runs[q.Header.Get("Request-Id")]
+	r.Times++
+	r.Key = r.Key || q.Header.Get("Credential") != ""
+	r.Account = q.Header.Get("Tenant")
+	l.runs[q.Header.Get("Request-Id")] = r
+}
+
+// Run gives what is known of a request.
+func (l *Ledger) Run(id string) Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+// Faults are the shares of requests that a runner fails, from 0 to 1.
+type Faults struct {
+	Reject, Lose, Break float64
+}
+
+// Runner is one runner; it implements http.Handler.
+type Runner struct {
+	ledger *Ledger
+
+	mu     sync.Mutex
+	id     string
+	phase  string
+	faults Faults
+	orders int
+	random *rand.Rand
+}
+
+// NewRunner returns a runner of a phase: prefill, decode, or none for a plain
+// service.
+func NewRunner(id, phase string, ledger *Ledger, seed uint64) *Runner {
+	return &Runner{ledger: ledger, id: id, phase: phase, random: rand.New(rand.NewPCG(seed, 7))}
+}
+
+// SetFaults replaces the runner's faults.
+func (r *Runner) SetFaults(f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+}
+
+// draw decides whether a fault of some share happens now.
+func (r *Runner) draw(share func(Faults) float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64() < share(r.faults)
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	id := q.Header.Get("Request-Id")
+	w.Header().Set("Request-Id", id)
+	switch {
+	case q.URL.Path == "/trefoilwalk/hold-take":
+		_, _ = io.WriteString(w, `{"hold":"h"}`)
+	case q.URL.Path == "/trefoilwalk/report":
+		_, _ = fmt.Fprintf(w, `{"phase":%q,"busy":false,"sequence":%d}`, r.phase, r.orders)
+	case q.URL.Path == "/trefoilwalk/order":
+		w.WriteHeader(http.StatusConflict)
+	case strings.HasPrefix(q.URL.Path, "/trefoilwalk/"):
+	case q.Header.Get("Target-Instance") != r.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case r.draw(func(f Faults) float64 { return f.Reject }):
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case q.Header.Get("Serving-Phase") == "prefill":
+		_, _ = io.WriteString(w, `{"kv_handle":"k","tokens":1,"version":1}`)
+	default:
+		r.ledger.note(q)
+		if r.draw(func(f Faults) float64 { return f.Lose }) {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Server-Signature", "s-"+id)
+		r.run(w, q, string(body))
+	}
+}
+
+func (r *Runner) run(w http.ResponseWriter, q *http.Request, body string) {
+	if r.phase == "" {
+		_, _ = io.WriteString(w, Answer(q.Header.Get("Request-Id"), body))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if last, err := strconv.Atoi(q.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for event := first; event <= Events; event++ {
+		if r.draw(func(f Faults) float64 { return f.Break / Events }) {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", event, Answer(body, strconv.Itoa(event)))
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-q.Context().Done():
+			return
+		case <-time.After(eventEvery):
+		}
+	}
+}
+
+// Answer is what a runner says to a request: the caller can tell its own.
+func Answer(parts ...string) string {
+	return "answer:" + strings.Join(parts, ":")
+}
