--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -53,13 +54,23 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// Ports of gateways lie below those that the kernel gives to outgoing connections:
+// a gateway that is started again needs the ones that it had.
+const lowestPort, highestPort = 12_000, 32_000
+
 // freeAddr finds a port that nobody listens on.
 func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var last error
+	for range 100 {
+		port := lowestPort + rand.IntN(highestPort-lowestPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			last = err
+			continue
+		}
+		return l.Addr().String(), l.Close()
 	}
-	return l.Addr().String(), l.Close()
+	return "", fmt.Errorf("soak: no free port: %w", last)
 }
 
 func serveHTTP(h http.Handler) (*http.Server, string, error) {
