--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -434,12 +434,14 @@
 	}
 	resumable := route("resumable", "/resumable/", directory.Stream, "engines", 2)
 	resumable.Resumable = true
+	plainStream := route("plain-stream", "/plain-stream/", directory.Stream, "desk", 2)
+	plainStream.Resumable = true
 	open := route("open", "/open/", directory.Idempotent, "desk", 2)
 	open.Open = true
 	return &directory.Snapshot{
 		Version: version,
 		Hosts: map[string][]*directory.Route{"h": {
-			resumable, open, route("stream", "/stream/", directory.Stream, "engines", 1),
+			resumable, open, plainStream, route("stream", "/stream/", directory.Stream, "engines", 1),
 			route("read", "/read/", directory.Idempotent, "desk", 2), route("once", "/once/", directory.Once, "desk", 1),
 		}},
 		Services: map[directory.ServiceName]*directory.Service{
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -202,6 +202,15 @@
 	g.pool.Close()
 }
 
+// BodyLimit gives the most bytes that a caller may send as a body, 0 if no
+// configuration is known.
+func (g *Gateway) BodyLimit() int {
+	if s := g.snapshot(table.NewHeld()); s != nil {
+		return s.Limits.BodyBytes
+	}
+	return 0
+}
+
 // snapshot gives the configuration in force, nil if none is known.
 func (g *Gateway) snapshot(h *table.Held) (now *directory.Snapshot) {
 	g.config.With(h, func(c **configuration) { now = (*c).now })
--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -64,6 +64,11 @@
 			name: "a resumable stream breaks off too often", path: "/resumable/1", answers: queued{"stream": {torn, torn}},
 			code: contract.CodeStreamBroken, ran: contract.RanYes, body: "1 2 ", calls: map[string]int{"stream": 2},
 		},
+		{name: "a stream without an engine", path: "/plain-stream/1", body: "1 2 3 4 5 ", calls: map[string]int{"reserve": 0, "prefill": 0, "stream": 1}},
+		{
+			name: "a stream without an engine breaks off", path: "/plain-stream/1", answers: queued{"stream": {torn}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"reserve": 0, "stream": 2},
+		},
 		{name: "a plain read", path: "/read/1", body: "body", calls: map[string]int{"call": 1}},
 		{
 			name: "a plain read fails once", path: "/read/1", answers: queued{"call": {failed}},
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -60,10 +60,14 @@
 	g.insert(h, r)
 	g.budget(h, r.service, (*retry.Budget).First)
 	answer(admission{request: r})
-	if r.route.Kind == directory.Stream {
+	switch {
+	case r.route.Kind != directory.Stream:
+		return g.call(h, r)
+	case g.engine(h, r.service) == nil:
+		return g.streamPlain(h, r)
+	default:
 		return g.arrive(h, r)
 	}
-	return g.call(h, r)
 }
 
 // newRequest turns a message into a request, or says why not.
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -7,6 +7,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -32,6 +33,32 @@
 	}}}
 }
 
+// streamPlain has a stream made by an upstream that runs no model: there is no
+// memory to reserve and no prompt to read.
+func (g *Gateway) streamPlain(h *table.Held, r *request) []pool.Effect {
+	now := g.clock.Now()
+	choices := g.choose(h, now, r, upstream.RoleService, nil)
+	if len(choices) == 0 {
+		return g.finish(h, r, contract.RefuseRepeat(contract.CodeNoUpstream, minReturn, "no upstream takes the request"))
+	}
+	choice := choices[0]
+	g.board.With(h, func(b **roster.Board) {
+		(*b).Took(choice, 0)
+		(*b).Probe(now, choice)
+	})
+	r.place, r.placedAt = &choice, now
+	return g.stream(h, r, runner.Handle{})
+}
+
+// again sends a stream to another upstream.
+func (g *Gateway) again(h *table.Held, r *request) []pool.Effect {
+	if g.engine(h, r.service) == nil {
+		return g.streamPlain(h, r)
+	}
+	r.prefills = 0
+	return g.reserve(h, r)
+}
+
 // freeHandle drops a KV cache that nobody will fetch.
 func (g *Gateway) freeHandle(source runner.Handle, r *request) pool.Effect {
 	return g.cleanup(func(ctx context.Context) runner.Result {
@@ -117,8 +144,7 @@
 	if g.mayGoOn(h, r, result) {
 		g.log.Info(string(eventRetried), "request", r.message.ID, "attempts", r.attempts, "after_event", r.last,
 			"slack_ms", r.slack(now).Milliseconds(), "left_ms", r.left(now).Milliseconds())
-		r.prefills = 0
-		return append(effects, g.reserve(h, r)...)
+		return append(effects, g.again(h, r)...)
 	}
 	return append(effects, g.finish(h, r, g.refusalAfter(r, result))...)
 }
