--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -34,14 +34,14 @@
 // reserve asks decode engines for a place, before anything is read.
 func (g *Gateway) reserve(h *table.Held, r *request) []pool.Effect {
 	if refusal := g.stopped(h, r); refusal != nil {
-		return append(g.finish(h, r, refusal), g.asked(h, r.service, true)...)
+		return append(g.finish(h, r, refusal), g.asked(h, r, true)...)
 	}
 	now := g.clock.Now()
 	processes := g.processes(h, now)
 	may := false
 	g.board.With(h, func(b **roster.Board) { may = (*b).MayRead(r.service, r.message.Prompt, processes) })
 	if !may {
-		return append(g.asked(h, r.service, false), g.park(h, r, waitBacklog)...)
+		return append(g.asked(h, r, false), g.park(h, r, waitBacklog)...)
 	}
 	choices := g.choose(h, now, r, upstream.RoleDecode, nil)
 	if len(choices) > MaxAsks {
@@ -49,7 +49,7 @@
 	}
 	if len(choices) == 0 {
 		r.exclude = nil
-		return append(g.asked(h, r.service, false), g.park(h, r, waitRoom)...)
+		return append(g.asked(h, r, false), g.park(h, r, waitRoom)...)
 	}
 	ttl := ReserveFor
 	if engine := g.engine(h, r.service); engine != nil && engine.MaxReservation > 0 {
@@ -100,14 +100,11 @@
 		for _, a := range asks {
 			switch a.result.Reach {
 			case runner.Answered:
-			case runner.Rejected:
-				if a.result.Misdirected {
-					(*b).Misdirected(now, a.choice)
-				} else {
-					(*b).Full(now, a.choice)
-				}
-			default:
+			case runner.Broken:
+				// Asking is no work: an engine that gives no answer to it is away.
 				(*b).Down(now, a.choice)
+			default:
+				(*b).Blame(now, a.choice, a.result)
 			}
 		}
 		if choice != nil {
@@ -115,14 +112,14 @@
 		}
 	})
 	if choice == nil {
-		effects := g.asked(h, r.service, false)
+		effects := g.asked(h, r, false)
 		return append(effects, g.park(h, r, waitRoom)...)
 	}
 	live := g.live(h, r, func() {
 		r.place, r.held, r.reservation = choice, tokens, id
 		r.placedAt = now
 	})
-	effects := g.asked(h, r.service, true)
+	effects := g.asked(h, r, true)
 	if !live {
 		return effects
 	}
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -67,15 +67,8 @@
 			took := now.Sub(r.prefillAt) * prefillUnit / time.Duration(max(prompt, prefillUnit))
 			(*b).Succeeded(now, choice, took, result.Load)
 			(*b).Read(prompt, now.Sub(r.prefillAt))
-		case ended:
-		case result.Misdirected:
-			(*b).Misdirected(now, choice)
-		case result.Refused, result.Reach == runner.NotSent:
-			(*b).Down(now, choice)
-		case result.Reach == runner.Rejected:
-			(*b).Full(now, choice)
-		default:
-			(*b).Failed(now, choice)
+		case !ended:
+			(*b).Blame(now, choice, result)
 		}
 	})
 	if result.Reach == runner.Answered {
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -42,6 +42,8 @@
 	place       *roster.Choice
 	reservation string
 	held        contract.Tokens
+	// turn says that it is its turn to ask, after it waited.
+	turn bool
 	// waitsFor is what it waited for last.
 	waitsFor string
 	// reader is the prefill engine that read the prompt last.
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -156,15 +156,8 @@
 		switch {
 		case result.Reach == runner.Answered && result.Status < 500:
 			(*b).Succeeded(now, choice, g.perEvent(r, now), result.Load)
-		case ended:
-		case result.Misdirected:
-			(*b).Misdirected(now, choice)
-		case result.Refused, result.Reach == runner.NotSent:
-			(*b).Down(now, choice)
-		case result.Reach == runner.Rejected:
-			(*b).Full(now, choice)
-		default:
-			(*b).Failed(now, choice)
+		case !ended:
+			(*b).Blame(now, choice, result)
 		}
 	})
 }
--- a/instance/gateway/wait.go
+++ b/instance/gateway/wait.go
@@ -159,15 +159,19 @@
 	if first == nil {
 		return nil
 	}
+	first.turn = true
 	return g.reserve(h, first)
 }
 
-// asked ends the turn of a waiting request; the next one tries if it got a
-// place.
-func (g *Gateway) asked(h *table.Held, service directory.ServiceName, placed bool) []pool.Effect {
-	g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) { list(*lists, service).asking = false })
+// asked ends the turn of a request that waited; the next one tries if it got a
+// place. One that did not wait had no turn.
+func (g *Gateway) asked(h *table.Held, r *request, placed bool) []pool.Effect {
+	if r.turn {
+		r.turn = false
+		g.waiting.With(h, func(lists *map[directory.ServiceName]*waitList) { list(*lists, r.service).asking = false })
+	}
 	if !placed {
 		return nil
 	}
-	return g.roomFreed(h, service)
+	return g.roomFreed(h, r.service)
 }
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -218,6 +218,20 @@
 	}
 }
 
+// Blame notes what a call that got no good answer says of an upstream.
+func (b *Board) Blame(now time.Time, c Choice, result runner.Result) {
+	switch {
+	case result.Misdirected:
+		b.Misdirected(now, c)
+	case result.Refused, result.Reach == runner.NotSent:
+		b.Down(now, c)
+	case result.Reach == runner.Rejected:
+		b.Full(now, c)
+	default:
+		b.Failed(now, c)
+	}
+}
+
 // Succeeded notes an answer and how long it took.
 func (b *Board) Succeeded(now time.Time, c Choice, took time.Duration, load runner.Load) {
 	u := b.find(c)
