--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -40,7 +40,7 @@
 	r.attempts++
 	options := r.options(now)
 	again := r.route.Kind == directory.Idempotent && r.attempts < r.route.MaxAttempts && len(choices) > 1
-	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+	return g.perform(r, func() pool.Step {
 		ctx := r.ctx
 		if again {
 			var cancel context.CancelFunc
@@ -49,7 +49,7 @@
 		}
 		answer, result := g.runners.Call(ctx, choice.Target, r.message, options)
 		return func(h *table.Held) []pool.Effect { return g.called(h, r, choice, answer, result) }
-	}}}
+	})
 }
 
 // called delivers the answer, or goes on after a failure.
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -29,6 +29,8 @@
 	hang bool
 	// takes is how long the call lasts.
 	takes time.Duration
+	// panics ends it by a fault of this process.
+	panics bool
 }
 
 var (
@@ -81,6 +83,9 @@
 		a, f.answers[kind] = list[0], list[1:]
 	}
 	f.mu.Unlock()
+	if a.panics {
+		panic("the call panics")
+	}
 	if a.hang {
 		<-ctx.Done()
 		return answer{result: runner.Result{Reach: runner.Broken, Err: context.Cause(ctx)}, events: a.events}
--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -369,3 +369,13 @@
 		}
 	})
 }
+
+// TestPanic ends a request whose call panics, and the process goes on.
+func TestPanic(t *testing.T) {
+	run(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.runners.queue("stream", answer{panics: true})
+		refusal := g.Forward(context.Background(), testMessage("/stream/1"), &callerSink{})
+		checkRefusal(t, refusal, contract.CodeInternal, contract.RanUnknown)
+		checkRefusal(t, g.Forward(context.Background(), testMessage("/stream/1"), &callerSink{}), "", contract.RanNo)
+	})
+}
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -56,7 +56,7 @@
 		ttl = min(ttl, engine.MaxReservation)
 	}
 	tokens := r.tokens()
-	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+	return g.perform(r, func() pool.Step {
 		var asks []ask
 		for _, c := range choices {
 			ctx, cancel := context.WithTimeout(r.ctx, AskTimeout)
@@ -71,7 +71,7 @@
 			}
 		}
 		return func(h *table.Held) []pool.Effect { return g.reserved(h, r, nil, "", tokens, asks) }
-	}}}
+	})
 }
 
 // choose gives the upstreams to try for a role.
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -44,12 +44,12 @@
 	r.prefillAt = now
 	options := r.options(now)
 	options.Reservation = ""
-	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+	return g.perform(r, func() pool.Step {
 		ctx, cancel := context.WithTimeout(r.ctx, PrefillTimeout)
 		defer cancel()
 		handle, result := g.runners.Prefill(ctx, choice.Target, r.message, options)
 		return func(h *table.Held) []pool.Effect { return g.prefilled(h, r, choice, handle, result) }
-	}}}
+	})
 }
 
 // prefillUnit is the prompt for which reading times are compared, in tokens.
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"strconv"
 	"time"
@@ -150,6 +151,22 @@
 	return live
 }
 
+// perform makes a call of a request outside of the workers. One that panics ends
+// its request.
+func (g *Gateway) perform(r *request, call func() pool.Step) []pool.Effect {
+	return []pool.Effect{{
+		Lane:    laneRequest,
+		Perform: func(context.Context) pool.Step { return call() },
+		OnPanic: func(reason any) pool.Step {
+			return func(h *table.Held) []pool.Effect {
+				effects := g.asked(h, r, true)
+				refusal := &contract.Refusal{Code: contract.CodeInternal, Ran: contract.RanUnknown, Reason: fmt.Sprint(reason)}
+				return append(effects, g.finish(h, r, refusal)...)
+			}
+		},
+	}}
+}
+
 // leave frees what the request holds at its upstream.
 func (g *Gateway) leave(h *table.Held, r *request) []pool.Effect {
 	place, held, reservation := r.place, r.held, r.reservation
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -27,10 +27,10 @@
 	// The engine takes the reservation with the request.
 	r.reservation = ""
 	r.attempts++
-	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+	return g.perform(r, func() pool.Step {
 		answer, result := g.runners.Stream(r.ctx, choice.Target, r.message, options, &delivery{g: g, r: r})
 		return func(h *table.Held) []pool.Effect { return g.streamed(h, r, choice, source, answer, result) }
-	}}}
+	})
 }
 
 // streamPlain has a stream made by an upstream that runs no model: there is no
@@ -177,7 +177,7 @@
 
 // deliver writes a whole answer to the caller, outside of the workers.
 func (g *Gateway) deliver(h *table.Held, r *request, answer runner.Answer) []pool.Effect {
-	return []pool.Effect{{Lane: laneRequest, Perform: func(context.Context) pool.Step {
+	return g.perform(r, func() pool.Step {
 		r.begun = true
 		r.firstAt = g.clock.Now()
 		err := r.sink.Begin(answer.Status, answer.Header)
@@ -190,7 +190,7 @@
 			}
 			return g.finish(h, r, nil)
 		}
-	}}}
+	})
 }
 
 // mayGoOn decides whether a request is sent to another upstream.
