--- a/contract/quota/quota.go
+++ b/contract/quota/quota.go
@@ -29,9 +29,13 @@
 	Usage       Usage
 }
 
-// unevenness is how much more than an even part of an account's tokens a process
-// may use in one round, before the others hear of it. Callers are spread unevenly.
-const unevenness = 2
+// What a process may use of an account's tokens in one round, before the others
+// hear of it: some times an even part, since callers are spread unevenly, and in a
+// large fleet enough for a few long prompts at once.
+const (
+	unevenness = 2
+	leastPart  = 0.2
+)
 
 // HeardWithin is the age above which a peer's figures count as unknown: three
 // rounds of exchange.
@@ -197,7 +201,7 @@
 
 // part is what one process may use of some tokens before the others hear of it.
 func (m *Meter) part(tokens float64) float64 {
-	return max(0, tokens) * min(1, unevenness/float64(m.all()))
+	return max(0, tokens) * min(1, max(leastPart, unevenness/float64(m.all())))
 }
 
 // Round begins a round: peers are told now what was used before. processes is how
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -178,7 +178,8 @@
 	}
 	g.members.With(h, func(m **members) { (*m).learn(now, peers) })
 	g.log.Info(string(eventEntered), "entries", len(entries))
-	return nil
+	// Until they are heard, they keep their parts of quotas and backlogs.
+	return g.tellPeers(h)
 }
 
 // tellPeers starts the exchanges that are due.
