--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -26,6 +26,9 @@
 	// take turns. Half of some tens of gateways are told in each, so that all
 	// are heard within quota.HeardWithin.
 	MaxExchanges = 13
+	// MaxNamed bounds the other gateways named in a message: with all of them a
+	// fleet's messages would grow with the square of its size.
+	MaxNamed = 8
 )
 
 // member is one peer.
@@ -237,6 +240,8 @@
 		m.From = (*own).self
 		m.List = (*own).listed
 		m.Known = (*own).known(now)
+		// The order of a map is random, so in time all are named.
+		m.Known = m.Known[:min(len(m.Known), MaxNamed)]
 	})
 	g.quotas.With(h, func(q **quota.Meter) { m.Usage = (*q).Own() })
 	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
