--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/userplatform"
 )
 
@@ -226,7 +227,7 @@
 				if time.Now().After(end) || ctx.Err() != nil {
 					return false
 				}
-				time.Sleep(100 * time.Millisecond)
+				clock.Wait(ctx, askAgainAfter)
 			}
 		}
 	}
--- a/upstream/retry/retry.go
+++ b/upstream/retry/retry.go
@@ -68,7 +68,13 @@
 // Among divides the floor and what is saved between a number of processes.
 func (b *Budget) Among(processes int) {
 	b.among = float64(max(1, processes))
-	b.floor = min(b.floor, b.options.FloorBurst/b.among)
+	b.floor = min(b.floor, b.floorBurst())
+}
+
+// floorBurst is the most that the floor saves here: one retry at least, else a
+// part of it would never be worth a whole one.
+func (b *Budget) floorBurst() float64 {
+	return max(1, b.options.FloorBurst/b.among)
 }
 
 // First records a first attempt.
@@ -99,7 +105,7 @@
 func (b *Budget) refill(now time.Time) {
 	if !b.at.IsZero() && now.After(b.at) {
 		earned := now.Sub(b.at).Seconds() * b.options.FloorPerSecond / b.among
-		b.floor = min(max(1, b.options.FloorBurst/b.among), b.floor+earned)
+		b.floor = min(b.floorBurst(), b.floor+earned)
 	}
 	if b.at.Before(now) {
 		b.at = now
--- a/upstream/retry/retry_test.go
+++ b/upstream/retry/retry_test.go
@@ -42,3 +42,26 @@
 		}
 	}
 }
+
+// TestAmong divides the floor between processes: together they stay near it, and
+// each of many still gets a retry in the course of time.
+func TestAmong(t *testing.T) {
+	notRun := contract.Refuse(contract.CodeUpstreamFailed, "")
+	const seconds = 100
+	for _, processes := range []int{1, 5, 26, 370} {
+		retries := 0
+		for range processes {
+			b := NewBudget(Options{FloorPerSecond: 2, FloorBurst: 20, MaxSaved: 10})
+			for second := range seconds {
+				b.Among(processes)
+				if b.Allow(time.Unix(int64(1000+second), 0), notRun, false) {
+					retries++
+				}
+			}
+		}
+		most := 2*seconds + max(20, processes)
+		if retries > most || retries < min(processes, seconds) {
+			t.Errorf("%d processes: %d retries, want at most %d", processes, retries, most)
+		}
+	}
+}
