--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,6 +72,7 @@
 	// DefaultRecoverWithin is the users' own bound for serving again.
 	DefaultRecoverWithin = 12 * time.Second
 	callerPause          = 20 * time.Millisecond
+	askAgainAfter        = 100 * time.Millisecond
 )
 
 // Run plays one soak.
