Serve routes and callers that name no objective and no timeout

By reading: a route without an objective ended each first attempt at once, one without a timeout every request. TestNoLimits failed with both.

--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -39,7 +39,7 @@
 	r.placedAt = now
 	r.attempts++
 	options := r.options(now)
-	again := r.route.Kind == directory.Idempotent && r.attempts < r.route.MaxAttempts && len(choices) > 1
+	again := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && len(choices) > 1
 	return g.perform(r, func() pool.Step {
 		ctx := r.ctx
 		if again {
--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -379,3 +379,22 @@
 		checkRefusal(t, g.Forward(context.Background(), testMessage("/stream/1"), &callerSink{}), "", contract.RanNo)
 	})
 }
+
+// TestNoLimits serves routes and callers that name no objective and no timeout.
+func TestNoLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		for _, r := range f.registry.config.Hosts["h"] {
+			r.Timeout, r.Objective = 0, 0
+		}
+		g := f.start(t, "g1")
+		defer g.Close()
+		time.Sleep(2 * time.Second)
+		for _, path := range []string{"/read/1", "/once/1", "/plain-stream/1"} {
+			m := plainMessage(path)
+			m.Patience = 0
+			f.runners.queue("call", answer{result: good.result, takes: time.Second})
+			checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		}
+	})
+}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -115,9 +115,11 @@
 // describe fills in a request's row.
 func (g *Gateway) describe(m *contract.Message, sink contract.MessageSink, route *directory.Route, account *directory.Account, version uint64) *request {
 	now := g.clock.Now()
-	within := route.Timeout
-	if m.Patience > 0 {
-		within = min(within, m.Patience)
+	within := MaxTime
+	for _, limit := range []time.Duration{route.Timeout, m.Patience} {
+		if limit > 0 {
+			within = min(within, limit)
+		}
 	}
 	r := &request{
 		row:      g.newRow(),
@@ -153,6 +155,9 @@
 	return contract.RefuseRepeat(contract.CodeRateLimited, max(d.After, minReturn), "the account is over its quota")
 }
 
+// MaxTime bounds a request whose route and caller name no limit.
+const MaxTime = 5 * time.Minute
+
 // minReturn is the least wait that a refusal asks for.
 const minReturn = 500 * time.Millisecond
 
