--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -396,5 +396,8 @@
 			f.runners.queue("call", answer{result: good.result, takes: time.Second})
 			checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
 		}
+		if n := f.runners.count("call"); n != 2 {
+			t.Errorf("%d calls for two plain requests", n)
+		}
 	})
 }
