Let the platform's stand-ins speak its names

TestPlatformFolder found the soak's stand-ins. They play the platform and its callers, as tests do; they are listed, and still may not import platform/.

--- a/internal/layers/layers.go
+++ b/internal/layers/layers.go
@@ -52,7 +52,11 @@
 // PlatformImporters are the folders that may import it.
 var PlatformImporters = []string{"cmd/trefoil-gateway"}
 
-// PlatformNames stand in that folder only.
+// PlatformStandIns play the platform or its callers and so speak as it does. They
+// import nothing of PlatformFolder.
+var PlatformStandIns = []string{"internal/standin/userplatform", "internal/soak"}
+
+// PlatformNames stand in that folder and in its stand-ins only.
 var PlatformNames = []string{
 	"Kv-Source", "Kv-Hold", "Target-Instance", "Not-Executed", "Server-Signature", "rows-feed", "rows-tx", "hold-take",
 	"fencing_token", "kv_handle", "Token-Usage", "Length-Hint", "trefoilwalk/report",
