--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -202,13 +202,13 @@
 	g.pool.Close()
 }
 
-// BodyLimit gives the most bytes that a caller may send as a body, 0 if no
-// configuration is known.
-func (g *Gateway) BodyLimit() int {
+// Limits gives what the configuration in force allows callers, zero if none is
+// known.
+func (g *Gateway) Limits() directory.Limits {
 	if s := g.snapshot(table.NewHeld()); s != nil {
-		return s.Limits.BodyBytes
+		return s.Limits
 	}
-	return 0
+	return directory.Limits{}
 }
 
 // snapshot gives the configuration in force, nil if none is known.
