--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -239,6 +239,7 @@
 	g.members.With(h, func(own **members) {
 		m.From = (*own).self
 		m.List = (*own).listed
+		m.Away = (*own).away()
 		m.Known = (*own).known(now)
 		// The order of a map is random, so in time all are named.
 		m.Known = m.Known[:min(len(m.Known), MaxNamed)]
@@ -318,7 +319,7 @@
 		if snapshot := g.snapshot(h); snapshot != nil && snapshot.Version > m.Config {
 			reply.Newer = snapshot
 		}
-		if reply.List > m.List {
+		if m.Away && reply.List > m.List {
 			var list registry.Upstreams
 			g.board.With(h, func(b **roster.Board) { list = (*b).List(reply.List) })
 			reply.Upstreams = &list
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -44,6 +44,9 @@
 	Turns []Turn
 	// Known are other gateways.
 	Known []Peer
+	// Away says that the registry does not answer the sender, so that it wants
+	// the list of upstreams.
+	Away bool
 	// Leaving gateways are about to end.
 	Leaving bool
 }
@@ -53,7 +56,7 @@
 	Message
 	// Newer is a later configuration than the sender's, if there is one.
 	Newer *directory.Snapshot
-	// Upstreams is a later list than the sender's, if there is one.
+	// Upstreams is a later list than the sender's, if it is away and there is one.
 	Upstreams *registry.Upstreams
 }
 
