Remove what nothing reads

Found on reading the change again: the time of the registry's last failure, the mark of a leaving gateway, a priority that was worked out and never sent, and a way to forget connections that nobody called. No behaviour changes.

--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -57,8 +57,7 @@
 	listed uint64
 	// feedDown says which of the registry's feeds failed last; none was read at
 	// the start.
-	feedDown   [feeds]bool
-	registryAt time.Time
+	feedDown [feeds]bool
 }
 
 func newMembers(o Options) *members {
@@ -232,7 +231,7 @@
 // message is what this process tells others.
 func (g *Gateway) message(h *table.Held) relay.Message {
 	now := g.clock.Now()
-	m := relay.Message{Leaving: g.life.State() >= instance.Draining}
+	var m relay.Message
 	if snapshot := g.snapshot(h); snapshot != nil {
 		m.Config = snapshot.Version
 	}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -110,18 +110,9 @@
 		Within:      r.left(now),
 		Reservation: r.reservation,
 		ResumeAfter: resume,
-		Priority:    r.priority(),
 	}
 }
 
-// priority ranks the request: the account's rank goes before the route's.
-func (r *request) priority() int {
-	if r.account != nil && r.account.Ranked {
-		return r.account.Priority
-	}
-	return r.route.Priority
-}
-
 // failed notes that an upstream failed the request.
 func (r *request) failed(id upstream.ID) {
 	if !slices.Contains(r.exclude, id) {
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -209,9 +209,6 @@
 	g.members.With(h, func(m **members) {
 		before = (*m).away()
 		(*m).feedDown[f] = err != nil
-		if before != (*m).away() || err != nil {
-			(*m).registryAt = now
-		}
 		after = (*m).away()
 	})
 	switch {
--- a/link/httpconn/pool.go
+++ b/link/httpconn/pool.go
@@ -129,14 +129,6 @@
 	p.idle = make(map[string][]*conn)
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(addr string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	closeAll(p.idle[addr])
-	delete(p.idle, addr)
-}
-
 func closeAll(conns []*conn) {
 	for _, c := range conns {
 		_ = c.Close()
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -47,8 +47,6 @@
 	// Away says that the registry does not answer the sender, so that it wants
 	// the list of upstreams.
 	Away bool
-	// Leaving gateways are about to end.
-	Leaving bool
 }
 
 // Reply answers a message, with what the sender lacks.
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -70,8 +70,6 @@
 	Source Handle
 	// ResumeAfter is the last event that the caller has.
 	ResumeAfter string
-	// Priority ranks the message at the upstream; 0 is the most urgent.
-	Priority int
 }
 
 // Handle names a KV cache at the upstream that read the prompt.
