Look for missing grantors anew after each layout

An entry that had been cut off for more than five seconds took the layout it found at the table, still counted the grantors as missing, and wrote a layout of itself alone before their heartbeats reached it: the shares of the others were gone for a second. The search starts anew with each layout, since whoever wrote it saw its grantors.

Ruled out: requests at an entry that is not ready (the balancer's readiness does not matter to the row; the others were refused too). TestRejoinKeepsOthers fails without it (350 ms after the cut: layout of entry-02 alone).

--- a/contract/rate/promise.go
+++ b/contract/rate/promise.go
@@ -142,6 +142,8 @@
 	t.closed = len(next.GrantorsBefore) == 0
 	t.pledges = make(map[instance.Name]*pledge)
 	t.renewed = time.Time{}
+	// Whoever wrote the layout saw its grantors; the search for them starts anew.
+	t.unseen = make(map[instance.Name]time.Time)
 	t.held = t.workOutHeld()
 }
 
