--- /dev/null
+++ b/contract/rate/hold_test.go
@@ -0,0 +1,69 @@
+package rate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/rate"
+	"github.com/trefoilwalk/trefoilwalk/internal/ratesim"
+)
+
+// overAfterCut is the most that one account got beyond its bound when an entry
+// joins two others while one of them, still alive, is cut off. The cut is tried
+// at many moments, since only some fall right before the new layout.
+func overAfterCut(t *testing.T, lease time.Duration) (over float64) {
+	t.Helper()
+	const joins, step, cuts = 10 * time.Second, 50 * time.Millisecond, 60
+	account := contract.ClientAccount{ID: "a", Rate: contract.Rate{PerSecond: 1000, Burst: 200}}
+	for i := range cuts {
+		f, err := ratesim.New(ratesim.Options{
+			Policy: rate.PolicyEscrow, Entries: 3, Zones: 3, Seed: 1,
+			Rate: rate.Options{Lease: lease}, Accounts: []contract.ClientAccount{account},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		alone, late := f.Entries[1], f.Entries[2]
+		f.Crash(late)
+		f.At(joins, func() {
+			if err := f.Start(late); err != nil {
+				t.Error(err)
+			}
+		})
+		f.At(joins+time.Duration(i)*step, func() {
+			f.CutStore(alone, true)
+			for _, other := range []*ratesim.Entry{f.Entries[0], late} {
+				f.Cut(alone, other, true)
+			}
+		})
+		const calls = 2400
+		for n := range calls {
+			e := f.Entries[n%len(f.Entries)]
+			f.At(joins-2*time.Second+time.Duration(n)*5*time.Millisecond, func() { f.Request(e, "a", 20, 0, 1) })
+		}
+		f.Run(joins + 12*time.Second)
+		over = max(over, f.Tally("a").Over)
+	}
+	return over
+}
+
+// TestHoldCoversLease cuts an entry off right before a layout takes a part of its
+// share away. Its promises last for Lease; the others wait HoldFor, and with a
+// lease of twice that both spend the same tokens.
+func TestHoldCoversLease(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		lease  time.Duration
+		broken bool
+	}{
+		{"lease within the hold", rate.Lease, false},
+		{"lease of twice the hold", 2 * rate.HoldFor, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := overAfterCut(t, tt.lease); (got > tolerance) != tt.broken {
+				t.Errorf("%.2f tokens over the bound, want broken %v", got, tt.broken)
+			}
+		})
+	}
+}
