Refuse for rate only what the account cannot pay

Causes, from the state of all entries at each wrongful refusal: - A large request that waits for accrual held up smaller ones that the account could pay, here and at peers, until all of them were refused. It goes first only for as long as collecting what is there may take. - A lot that was spent kept its giver's limit lowered for 0.1 s; with entries that hold no share every gift is a lot, and accrual stopped at a tenth below the burst. The giver now hears at once. - Refunds raise a peer's hand without a message: a full holder lost accrual while others believed it low, and a waiting request did not ask a peer believed empty. Full holders say so, and peers that seem empty are asked each tick. - Refusals on what peers said before the request came.

--- a/contract/rate/account.go
+++ b/contract/rate/account.go
@@ -17,11 +17,15 @@
 	hand bucket
 	// lots may be spent on waiting tickets for a short time only.
 	lots []lot
+	// spent are lots whose givers are to be told.
+	spent []lot
 	// owed is what requests did not use and hand had no room for; it may still
 	// find room until owedUntil.
 	owed      float64
 	owedUntil time.Time
 	offered   time.Time
+	// announced is when peers were told last that hand is near its limit.
+	announced time.Time
 	// reserved lowers the limit of hand for what peers hold as lots.
 	reserved []reservation
 	tickets  []ticket
@@ -45,6 +49,8 @@
 	ask    uint64
 	amount float64
 	until  time.Time
+	// confirm means that the giver waits to hear that the lot is spent.
+	confirm bool
 }
 
 // reservation is the other side of a gift.
@@ -106,7 +112,12 @@
 			cost -= part
 		}
 	}
-	a.lots = slices.DeleteFunc(a.lots, func(l lot) bool { return l.amount <= 0 })
+	a.lots = slices.DeleteFunc(a.lots, func(l lot) bool {
+		if l.amount <= 0 && l.confirm {
+			a.spent = append(a.spent, l)
+		}
+		return l.amount <= 0
+	})
 	a.hand.tokens -= cost
 }
 
@@ -119,18 +130,51 @@
 	return sum
 }
 
-// payable is the cost of the first tickets, as many as the tokens pay for.
-func (a *account) payable(tokens float64) float64 {
+// claimedCost is the cost of the tickets that still claim tokens.
+func (a *account) claimedCost(now time.Time) float64 {
 	sum := 0.0
 	for i := range a.tickets {
-		if sum+a.tickets[i].cost > tokens {
-			break
+		if a.tickets[i].claims(now) {
+			sum += a.tickets[i].cost
 		}
-		sum += a.tickets[i].cost
 	}
 	return sum
 }
 
+// payable is the cost of the tickets that the tokens pay for, in their order. One
+// that claims tokens holds up those behind it.
+func (a *account) payable(now time.Time, tokens float64) float64 {
+	sum := 0.0
+	for i := range a.tickets {
+		t := &a.tickets[i]
+		switch {
+		case sum+t.cost <= tokens:
+			sum += t.cost
+		case t.claims(now):
+			return sum
+		}
+	}
+	return sum
+}
+
+// first is the ticket to ask peers for: the first that claims tokens, or else the
+// first.
+func (a *account) first(now time.Time) *ticket {
+	for i := range a.tickets {
+		if a.tickets[i].claims(now) {
+			return &a.tickets[i]
+		}
+	}
+	return &a.tickets[0]
+}
+
+// claims reports whether a ticket goes before later ones. Tokens that the account
+// had when it came are collected by then; one that waits for accrual has no
+// better right to them than the next request.
+func (t *ticket) claims(now time.Time) bool {
+	return now.Sub(t.arrived) < claimFor
+}
+
 // asked reports whether an ask to a peer has no answer yet and may still get
 // one.
 func (a *account) asked(now time.Time, peer instance.Name) bool {
--- a/contract/rate/escrow.go
+++ b/contract/rate/escrow.go
@@ -208,12 +208,13 @@
 	if len(a.tickets) == 0 && e.spendable(now, a) >= float64(cost) {
 		a.spend(now, float64(cost))
 		e.credit(now, a)
-		return Verdict{State: Granted}
+		e.confirmSpent(a)
+		return Verdict{State: Granted, Out: e.flush(now)}
 	}
 	t := ticket{id: id, cost: float64(cost), arrived: now, deadline: now.Add(max(patience, minPatience))}
 	peers := e.peers(a)
 	after := e.outlook(now, a, peers, a.waitingCost()+t.cost)
-	if now.Add(after).After(t.deadline) && e.fresh(now, a, peers) {
+	if len(peers) == 0 && e.holds(now) && now.Add(after/hopelessBy).After(t.deadline) {
 		return Verdict{State: Refused, After: max(after, TickEvery)}
 	}
 	a.tickets = append(a.tickets, t)
@@ -289,6 +290,7 @@
 	e.progress(now, a, true, result)
 	e.credit(now, a)
 	e.passOn(now, a)
+	e.announce(now, a)
 	e.level(now, a)
 	limit := e.limit(now, a)
 	full := a.hand.tokens >= limit && now.Sub(a.used) > keepIdle
--- a/contract/rate/handle.go
+++ b/contract/rate/handle.go
@@ -110,7 +110,7 @@
 		a.hand.tokens -= gift.Amount
 	}
 	if e.holds(now) {
-		gift.Have = math.Max(a.hand.tokens-a.waitingCost(), 0)
+		gift.Have = math.Max(a.hand.tokens-a.claimedCost(now), 0)
 	}
 	if gift.Amount > 0 {
 		gift.Confirm = a.hand.tokens+a.totalReserved()+gift.Amount > confirmAbove*e.limit(now, a)
@@ -140,7 +140,11 @@
 	if len(a.tickets) == 0 {
 		return false
 	}
-	age := now.Sub(a.tickets[0].arrived)
+	own := a.first(now)
+	age := now.Sub(own.arrived)
+	if claims := own.claims(now); claims != (ask.Age < claimFor) {
+		return claims
+	}
 	if age == ask.Age {
 		return e.self.Name < to
 	}
@@ -165,6 +169,9 @@
 	e.learn(now, a, from, g.Have)
 	open, ok := a.answered(g.Ask, from)
 	if !ok {
+		if g.Ask == 0 {
+			e.level(now, a)
+		}
 		return
 	}
 	until := open.sent.Add(giftFor)
@@ -181,7 +188,7 @@
 		m.Returns = append(m.Returns, Return{Ask: g.Ask, Account: a.id})
 	}
 	if over > 0 && !g.Offered {
-		a.lots = append(a.lots, lot{from: from, ask: g.Ask, amount: over, until: until})
+		a.lots = append(a.lots, lot{from: from, ask: g.Ask, amount: over, until: until, confirm: g.Confirm})
 	}
 	e.progress(now, a, false, result)
 	e.returnLots(now, a)
@@ -202,7 +209,7 @@
 		if e.holds(now) {
 			over = a.hand.give(l.amount, e.limit(now, a)-a.totalReserved())
 		}
-		if over >= 1 {
+		if over >= 1 || l.confirm {
 			m := e.to(l.from)
 			m.Returns = append(m.Returns, Return{Ask: l.ask, Account: a.id, Amount: over})
 		}
--- a/contract/rate/handover.go
+++ b/contract/rate/handover.go
@@ -24,9 +24,15 @@
 	keepIdle = 10 * time.Second
 	// freshFor is how long a peer's answer says all there is to know.
 	freshFor = TickEvery
+	// claimFor is how long a ticket goes before later ones: as long as tokens that
+	// the account had when it came may take to be collected.
+	claimFor = giftFor
+	// hopelessBy is by how many times its remaining patience a ticket must miss its
+	// tokens to be refused early; refunds cannot be foreseen.
+	hopelessBy = 4
 	// recheckEvery is when a peer is asked again, while a ticket waits, that
-	// seems to have nothing.
-	recheckEvery = 4 * TickEvery
+	// seems to have nothing; refunds reach it without a message.
+	recheckEvery = TickEvery
 	// collectParts is in how many parts, at most, a ticket's tokens are
 	// collected ahead of time.
 	collectParts = 8
@@ -34,16 +40,21 @@
 	typicalOver = 8
 	// lowOn is how many typical requests hand should cover without asking.
 	lowOn = 4
+	// announceFrom is the fraction of its limit from which an entry tells peers
+	// what it holds; the rest takes longer to accrue than two ticks.
+	announceFrom = 0.85
+	// announceEvery is how often it tells them.
+	announceEvery = TickEvery
 	// nearFull and farFromFull are fractions of the limit: tokens move from a
 	// peer near its limit, where accrual stops, to an entry far from its own.
 	nearFull    = 0.95
-	farFromFull = 0.93
+	farFromFull = 0.97
 	// confirmAbove is the fraction of its limit from which a giver would lose
 	// accrual if its limit stayed lowered.
-	confirmAbove = 0.75
+	confirmAbove = 0.5
 	// levelGap is the least difference, in parts of the limit, that is worth a
 	// message.
-	levelGap = 0.03
+	levelGap = 0.01
 )
 
 // peers gives the other holders of an account that are believed alive.
@@ -72,14 +83,15 @@
 	return math.Min(limit, l.have+now.Sub(l.at).Seconds()*part*float64(rate.PerSecond))
 }
 
-// fresh reports whether all peers said lately what they would give. An entry that
-// neither holds anything nor knows a peer is about to change that.
-func (e *Escrow) fresh(now time.Time, a *account, peers []instance.Name) bool {
+// fresh reports whether all peers said lately, and after the given time, what they
+// would give. An entry that neither holds anything nor knows a peer is about to
+// change that.
+func (e *Escrow) fresh(now time.Time, a *account, peers []instance.Name, since time.Time) bool {
 	if len(peers) == 0 && !e.holds(now) {
 		return false
 	}
 	for _, p := range peers {
-		if l, ok := a.peers[p]; !ok || now.Sub(l.at) > freshFor {
+		if l, ok := a.peers[p]; !ok || now.Sub(l.at) > freshFor || !l.at.After(since) {
 			return false
 		}
 	}
@@ -118,7 +130,7 @@
 			return false
 		}
 		if e.spendable(now, a) < t.cost {
-			blocked = true
+			blocked = blocked || t.claims(now)
 			return false
 		}
 		a.spend(now, t.cost)
@@ -126,6 +138,7 @@
 		result.Decided = append(result.Decided, Decided{Ticket: t.id, Granted: true, Account: a.id, Cost: contract.Tokens(t.cost)})
 		return true
 	})
+	e.confirmSpent(a)
 }
 
 // outlook is how long a ticket must wait until it and the tickets ahead of it
@@ -139,15 +152,14 @@
 	return until(contract.Tokens(math.Ceil(cost)), total, perSecond)
 }
 
-// refuse ends the wait of tickets whose time is up, or who will not get their
-// tokens in time as far as the peers said lately.
+// refuse ends the wait of tickets whose time is up, or who miss their tokens by far
+// as the peers said since they came.
 func (e *Escrow) refuse(now time.Time, a *account, peers []instance.Name, result *Result) {
-	certain := e.fresh(now, a, peers)
 	ahead := 0.0
 	a.tickets = slices.DeleteFunc(a.tickets, func(t ticket) bool {
 		after := e.outlook(now, a, peers, ahead+t.cost)
 		over := !now.Before(t.deadline)
-		hopeless := certain && now.Add(after).After(t.deadline)
+		hopeless := e.fresh(now, a, peers, t.arrived) && now.Add(after/hopelessBy).After(t.deadline)
 		if !over && !hopeless {
 			ahead += t.cost
 			return false
@@ -178,12 +190,12 @@
 func (e *Escrow) gather(now time.Time, a *account, peers []instance.Name, ahead bool) {
 	have := e.spendable(now, a)
 	offers, _, sum := e.offers(now, a, peers)
-	payable := a.payable(have + sum)
+	payable := a.payable(now, have+sum)
 	probe := payable == 0
 	missing := payable - have
 	least := 1.0
 	if ahead && e.holds(now) {
-		least = a.tickets[0].cost / collectParts
+		least = a.first(now).cost / collectParts
 		room := e.limit(now, a) - a.totalReserved() - a.hand.tokens
 		missing = math.Max(missing, math.Min(a.waitingCost()-have, room))
 	}
@@ -194,7 +206,7 @@
 		}
 		need := math.Ceil(math.Max(math.Min(o.have, missing), 1))
 		missing -= o.have
-		e.ask(now, a, o.peer, Ask{Need: need, Age: now.Sub(a.tickets[0].arrived) + 1})
+		e.ask(now, a, o.peer, Ask{Need: need, Age: now.Sub(a.first(now).arrived) + 1})
 	}
 }
 
@@ -263,3 +275,29 @@
 	m := e.to(emptiest.peer)
 	m.Offers = append(m.Offers, Offer{Account: a.id, Amount: a.owed})
 }
+
+// announce tells peers with room that hand is close to its limit, where accrual
+// stops. They cannot know, since refunds come without a message.
+func (e *Escrow) announce(now time.Time, a *account) {
+	limit := e.limit(now, a)
+	if limit <= 0 || a.hand.tokens < announceFrom*limit || now.Sub(a.announced) < announceEvery {
+		return
+	}
+	for _, p := range e.peers(a) {
+		if e.estimate(now, a, p, e.part(a)) < farFromFull*limit {
+			a.announced = now
+			m := e.to(p)
+			m.Gifts = append(m.Gifts, Gift{Account: a.id, Have: a.hand.tokens})
+		}
+	}
+}
+
+// confirmSpent tells givers that their lots are used up, so that their limits are
+// their own again.
+func (e *Escrow) confirmSpent(a *account) {
+	for _, l := range a.spent {
+		m := e.to(l.from)
+		m.Returns = append(m.Returns, Return{Ask: l.ask, Account: a.id})
+	}
+	a.spent = nil
+}
