--- a/link/settings/fuzz_test.go
+++ b/link/settings/fuzz_test.go
@@ -10,6 +10,7 @@
 func FuzzDecode(f *testing.F) {
 	f.Add(goodEntry)
 	f.Add(goodSidecar)
+	f.Add(goodGateway)
 	f.Add("workers = 99999999999999999999\n[limits]\nbody_bytes = \"9e999MB\"\n")
 	f.Add("[[operators]]\n[[operators]]\nname = \"\\u0000\"")
 	f.Fuzz(func(t *testing.T, text string) {
@@ -23,6 +24,11 @@
 		if err == nil && (sidecar.Upstream.Slots < 1 || sidecar.Leases.Grant.Duration <= 0) {
 			t.Errorf("accepted %+v", sidecar)
 		}
+		gateway, err := DecodeGateway("gateway.toml", text)
+		checkReport(t, err)
+		if err == nil && (gateway.Workers < 1 || gateway.Memory.Bytes < 1 || gateway.Quota.Window.Duration <= 0) {
+			t.Errorf("accepted %+v", gateway)
+		}
 	})
 }
 
--- a/link/settings/settings_test.go
+++ b/link/settings/settings_test.go
@@ -37,6 +37,22 @@
 key_sha256 = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 `
 
+const goodGateway = `name = "gateway-1"
+region = "saurashtra"
+zone = "rajkot-a"
+callers = "127.0.0.1:8080"
+readiness = "127.0.0.1:8081"
+peer = "127.0.0.1:7101"
+metrics = "127.0.0.1:9180"
+registry = "127.0.0.1:6000"
+peers = ["127.0.0.2:7101"]
+memory = "256MB"
+[quota]
+window = "8s"
+[retries]
+share = 0.2
+`
+
 const goodSidecar = `name = "sidecar-1"
 region = "saurashtra"
 zone = "rajkot-a"
@@ -78,6 +94,19 @@
 		{"entry_rates_policy", "[limits]", "[rates]\npolicy = \"single-owner\"\n[limits]"},
 		{"entry_secret_short", `"0123456789abcdef"`, `"0123"`},
 		{"entry_many", goodEntry, "workers = 0\n[platform]\nurl = \"ftp://x\"\n[trust]\nrule = \"none\"\n[peer]\nlisten=\"x\"\ntls_cert=\"c\"\ntls_key=\"k\"\n"},
+		{"gateway_good", "", ""},
+		{"gateway_unknown_keys", `memory =`, "memmory = \"1GB\"\nmemory ="},
+		{"gateway_unknown_in_table", `share = 0.2`, "share = 0.2\nratio = 0.3"},
+		{"gateway_no_registry", "registry = \"127.0.0.1:6000\"\n", ""},
+		{"gateway_name_for_address", `"127.0.0.1:6000"`, `"registry:6000"`},
+		{"gateway_peer_port_zero", `"127.0.0.2:7101"`, `"127.0.0.2:0"`},
+		{"gateway_memory_without_unit", `"256MB"`, `256`},
+		{"gateway_memory_low", `"256MB"`, `"4MB"`},
+		{"gateway_share_high", `share = 0.2`, `share = 1.5`},
+		{"gateway_window_without_unit", `"8s"`, `8`},
+		{"gateway_window_low", `"8s"`, `"10ms"`},
+		{"gateway_many", goodGateway, "workers = -1\ncallers = \"x\"\nlease = \"1h\"\n"},
+		{"gateway_syntax", `[quota]`, `[quota`},
 		{"sidecar_good", "", ""},
 		{"sidecar_role_of_service", `"engine"`, `"service"`},
 		{"sidecar_no_models", `["weave-7b"]`, `[]`},
@@ -86,13 +115,14 @@
 	golden := goldie.New(t)
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			text, err := goodEntry, error(nil)
-			if strings.HasPrefix(c.name, "sidecar") {
-				text = strings.Replace(goodSidecar, c.old, c.new, 1)
-				_, err = DecodeSidecar("sidecar.toml", text)
-			} else {
-				text = strings.Replace(goodEntry, c.old, c.new, 1)
-				_, err = DecodeEntry("entry.toml", text)
+			var err error
+			switch role, _, _ := strings.Cut(c.name, "_"); role {
+			case "gateway":
+				_, err = DecodeGateway("gateway.toml", strings.Replace(goodGateway, c.old, c.new, 1))
+			case "sidecar":
+				_, err = DecodeSidecar("sidecar.toml", strings.Replace(goodSidecar, c.old, c.new, 1))
+			default:
+				_, err = DecodeEntry("entry.toml", strings.Replace(goodEntry, c.old, c.new, 1))
 			}
 			report := "accepted"
 			if err != nil {
