Name three peers in a message instead of eight

Most of a message of an idle gateway was names. With 13 exchanges a round a gateway that the registry turns away still hears of 39 others in half a second.

--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -28,7 +28,7 @@
 	MaxExchanges = 13
 	// MaxNamed bounds the other gateways named in a message: with all of them a
 	// fleet's messages would grow with the square of its size.
-	MaxNamed = 8
+	MaxNamed = 3
 )
 
 // member is one peer.
