Let a stream that broke off wait for room while its caller does

A stream that broke off after its first event was resumed only if an engine had room at the first ask: its patience was that of a request whose first event is late.

--- a/contract/directory/directory.go
+++ b/contract/directory/directory.go
@@ -68,6 +68,9 @@
 	Objective time.Duration
 	// MaxGap is the longest pause between two events of a stream.
 	MaxGap time.Duration
+	// GiveUp is the pause, before or between events, after which callers leave a
+	// stream.
+	GiveUp time.Duration
 	// Shares has at least one service.
 	Shares []Share
 }
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -430,11 +430,14 @@
 	return g
 }
 
+// testGiveUp is the pause after which callers leave a stream.
+const testGiveUp = 3600 * time.Millisecond
+
 func testConfig(version uint64) *directory.Snapshot {
 	route := func(name, prefix string, kind directory.Kind, service directory.ServiceName, attempts int) *directory.Route {
 		return &directory.Route{
 			Name: contract.RouteName(name), Host: "h", Prefix: prefix, Kind: kind, MaxAttempts: attempts, Timeout: 10 * time.Second,
-			Objective: 900 * time.Millisecond, Shares: []directory.Share{{Service: service, Weight: 1}},
+			Objective: 900 * time.Millisecond, GiveUp: testGiveUp, Shares: []directory.Share{{Service: service, Weight: 1}},
 		}
 	}
 	resumable := route("resumable", "/resumable/", directory.Stream, "engines", 2)
--- a/instance/gateway/wait.go
+++ b/instance/gateway/wait.go
@@ -64,7 +64,11 @@
 // patience is how long a request may wait for a place.
 func (r *request) patience(now time.Time) time.Duration {
 	wait := r.slack(now) - FirstEventNeeds
-	if r.slack(r.arrived)-FirstEventNeeds <= 0 || r.attempts > 0 {
+	switch {
+	case r.events > 0:
+		// Late already, but most of it is delivered: it waits while its caller does.
+		wait = r.eventAt.Add(r.route.GiveUp).Sub(now) - FirstEventNeeds
+	case r.slack(r.arrived)-FirstEventNeeds <= 0 || r.attempts > 0:
 		wait = r.arrived.Add(MaxWait).Sub(now)
 	}
 	return min(wait, r.left(now)-FirstEventNeeds)
@@ -98,6 +102,9 @@
 
 // noRoom is the refusal of a request that waited long enough.
 func (g *Gateway) noRoom(r *request) *contract.Refusal {
+	if r.events > 0 {
+		return &contract.Refusal{Code: contract.CodeStreamBroken, Ran: contract.RanYes, Reason: "no time left to wait for " + r.waitsFor}
+	}
 	return contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "no time left to wait for "+r.waitsFor)
 }
 
