--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -38,6 +38,7 @@
 	r.place, r.held = &choice, 0
 	r.placedAt = now
 	r.attempts++
+	g.note(r, eventSent, "upstream", choice.ID, "attempt", r.attempts, "held_calls", choice.Calls)
 	options := r.options(now)
 	again := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && len(choices) > 1
 	return g.perform(r, func() pool.Step {
--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -12,6 +12,8 @@
 // Decisions that touch a request.
 const (
 	eventRefused       event = "request_refused"
+	eventAdmitted      event = "request_admitted"
+	eventSent          event = "call_sent"
 	eventParked        event = "request_parked"
 	eventReserved      event = "place_reserved"
 	eventPrefilled     event = "prompt_prefilled"
@@ -54,23 +56,32 @@
 	took := now.Sub(r.arrived)
 	g.metrics.ended(r, refusal, now)
 	args := []any{
-		"request", r.message.ID, "route", r.route.Name, "account", r.accountID(), "took_ms", took.Milliseconds(),
+		"route", r.route.Name, "account", r.accountID(), "took_ms", took.Milliseconds(),
 		"caller_waits_ms", r.message.Patience.Milliseconds(), "attempts", r.attempts, "reads", r.reads, "events", r.events, "ran", r.ran.String(), "config", r.version,
 	}
 	if !r.firstAt.IsZero() {
 		args = append(args, "first_ms", r.firstAt.Sub(r.arrived).Milliseconds(), "gap_ms", r.longestGap.Milliseconds())
 	}
 	if refusal == nil {
-		g.log.Info(string(eventEnded), append(args, "outcome", "answered")...)
+		args = append(args, "outcome", "answered")
+		switch {
+		case r.late():
+			g.noteTrouble(r, eventEnded, append(args, "late", true)...)
+		case r.story.dropped():
+			g.metrics.sampledOut()
+		default:
+			g.note(r, eventEnded, args...)
+		}
 		return
 	}
-	g.log.Info(string(eventEnded), append(args, "outcome", refusal.Code, "reason", refusal.Reason,
+	g.noteTrouble(r, eventEnded, append(args, "outcome", refusal.Code, "reason", refusal.Reason,
 		"after_ms", refusal.After.Milliseconds(), "begun", r.begun, "caller_left", r.gone)...)
 }
 
 // logAttempt records an attempt that did not lead to an answer.
 func (g *Gateway) logAttempt(r *request, what string, c roster.Choice, result runner.Result) {
-	g.log.Info(string(eventAttemptFailed), "request", r.message.ID, "call", what, "upstream", c.ID, "address", c.Addr,
+	g.metrics.attemptFailed(AttemptKey{Upstream: c.ID, Call: what, Reach: result.Reach.String()})
+	g.noteTrouble(r, eventAttemptFailed, "call", what, "upstream", c.ID, "address", c.Addr,
 		"reach", result.Reach.String(), "status", result.Status, "error", result.Err, "events", r.events,
 		"held_tokens", c.Tokens, "held_calls", c.Calls)
 }
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
@@ -391,6 +393,8 @@
 	runners  *fakeRunners
 	registry *fakeRegistry
 	peers    *fakePeers
+	// log is where gateways log; nowhere if nil.
+	log hclog.Logger
 }
 
 func record(id string, service directory.ServiceName, role upstream.Role) registry.Record {
@@ -423,6 +427,7 @@
 		Retries:     retry.Options{Share: 0.2, FloorPerSecond: 5, FloorBurst: 20, MaxSaved: 10},
 		ReturnAfter: returnAfter,
 		LeaseTerm:   3 * time.Second,
+		Log:         f.log,
 	})
 	f.peers.mu.Lock()
 	f.peers.gateways[name] = g
--- /dev/null
+++ b/instance/gateway/journal.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+const (
+	// detailedPerSecond is how many requests a second are logged whatever becomes
+	// of them: some 150 KB of text a second.
+	detailedPerSecond = 200
+	// maxHeld bounds the lines that are kept of one request.
+	maxHeld = 32
+)
+
+// detail chooses the requests that are logged in full: all of them up to a rate.
+// Of the others only those that fail or are late are logged, with all their lines.
+type detail struct {
+	mu     sync.Mutex
+	tokens float64
+	at     time.Time
+}
+
+func (d *detail) take(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.at.IsZero() {
+		d.tokens = detailedPerSecond
+	} else if now.After(d.at) {
+		d.tokens = min(detailedPerSecond, d.tokens+now.Sub(d.at).Seconds()*detailedPerSecond)
+	}
+	d.at = now
+	if d.tokens < 1 {
+		return false
+	}
+	d.tokens--
+	return true
+}
+
+// story is the log lines of one request. Steps and the end of a request may write
+// at the same time.
+type story struct {
+	mu    sync.Mutex
+	quiet bool
+	held  []heldLine
+}
+
+type heldLine struct {
+	at    time.Time
+	event event
+	args  []any
+}
+
+// note records a decision on a request.
+func (g *Gateway) note(r *request, e event, args ...any) {
+	args = append([]any{"request", r.message.ID}, args...)
+	s := &r.story
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.quiet {
+		if len(s.held) < maxHeld {
+			s.held = append(s.held, heldLine{at: g.clock.Now(), event: e, args: args})
+		}
+		return
+	}
+	g.log.Info(string(e), args...)
+}
+
+// noteTrouble records a decision on a request that does not go well, and all that
+// was held back of it, with the times of then.
+func (g *Gateway) noteTrouble(r *request, e event, args ...any) {
+	s := &r.story
+	s.mu.Lock()
+	for _, l := range s.held {
+		g.log.Info(string(l.event), append(l.args, "at", l.at.UTC().Format(time.RFC3339Nano))...)
+	}
+	s.quiet, s.held = false, nil
+	s.mu.Unlock()
+	g.note(r, e, args...)
+}
+
+// dropped reports whether the lines of a request that went well stay unwritten.
+func (s *story) dropped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quiet
+}
+
+// late reports whether an answer came later than what earns the full credit.
+func (r *request) late() bool {
+	if r.route.Objective > 0 && !r.firstAt.IsZero() && r.firstAt.Sub(r.arrived) > r.route.Objective {
+		return true
+	}
+	return r.route.MaxGap > 0 && r.longestGap > r.route.MaxGap
+}
+
+// logAdmitted records that a request has a row, with what that rests on.
+func (g *Gateway) logAdmitted(r *request) {
+	r.story.quiet = !g.detail.take(r.arrived)
+	g.note(r, eventAdmitted, "route", r.route.Name, "account", r.accountID(), "service", r.service, "config", r.version,
+		"cost", r.cost, "prompt", r.message.Prompt, "caller_waits_ms", r.message.Patience.Milliseconds())
+}
+
+// logOverloaded records a request that found no room in the process.
+func (g *Gateway) logOverloaded(m *contract.Message, refusal *contract.Refusal) *contract.Refusal {
+	g.logRefused(m, 0, refusal)
+	return refusal
+}
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
 )
 
 // Buckets of latency histograms, by their upper bounds.
@@ -43,6 +44,25 @@
 	Outcome string
 }
 
+// AttemptKey is what failed calls to upstreams are counted by.
+type AttemptKey struct {
+	Upstream upstream.ID
+	// Call is the kind of call, Reach how far it got.
+	Call, Reach string
+}
+
+// Phases of a request for a model.
+const (
+	// PhasePlace lasts from the arrival to a place at a decode engine.
+	PhasePlace = "place"
+	// PhasePrefill is one reading of the prompt.
+	PhasePrefill = "prefill"
+)
+
+// maxAttemptKeys bounds the upstreams whose failures are told apart; beyond it a
+// failure counts for none of them.
+const maxAttemptKeys = 2000
+
 // Metrics are the counters of one process. They have a lock of their own, since
 // they are read by whoever asks for them; it is taken last.
 type Metrics struct {
@@ -52,6 +72,9 @@
 	first   map[contract.RouteName]*Histogram
 	whole   map[contract.RouteName]*Histogram
 	config  uint64
+	sampled uint64
+	failed  map[AttemptKey]uint64
+	phases  map[string]*Histogram
 }
 
 // NewMetrics returns counters at zero.
@@ -61,15 +84,41 @@
 		refuses: make(map[contract.Code]uint64),
 		first:   make(map[contract.RouteName]*Histogram),
 		whole:   make(map[contract.RouteName]*Histogram),
+		failed:  make(map[AttemptKey]uint64),
+		phases:  make(map[string]*Histogram),
 	}
 }
 
+// attemptFailed counts a call that led to no answer.
+func (m *Metrics) attemptFailed(k AttemptKey) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.failed[k]; !ok && len(m.failed) >= maxAttemptKeys {
+		k.Upstream = ""
+	}
+	m.failed[k]++
+}
+
+// phase adds how long a phase of a request took.
+func (m *Metrics) phase(name string, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	histogram(m.phases, name).add(took)
+}
+
 func (m *Metrics) setConfig(version uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.config = version
 }
 
+// sampledOut counts a request that went well and was not logged.
+func (m *Metrics) sampledOut() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sampled++
+}
+
 func (m *Metrics) refused(code contract.Code) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -92,11 +141,11 @@
 	}
 }
 
-func histogram(of map[contract.RouteName]*Histogram, route contract.RouteName) *Histogram {
-	h, ok := of[route]
+func histogram[K comparable](of map[K]*Histogram, key K) *Histogram {
+	h, ok := of[key]
 	if !ok {
 		h = &Histogram{}
-		of[route] = h
+		of[key] = h
 	}
 	return h
 }
@@ -107,6 +156,11 @@
 	Refusals     map[contract.Code]uint64
 	First, Whole map[contract.RouteName]Histogram
 	Config       uint64
+	// SampledOut are requests that went well and were not logged.
+	SampledOut uint64
+	// Failed are calls that led to no answer.
+	Failed map[AttemptKey]uint64
+	Phases map[string]Histogram
 }
 
 // Read copies the counters.
@@ -119,6 +173,10 @@
 		First:    make(map[contract.RouteName]Histogram, len(m.first)),
 		Whole:    make(map[contract.RouteName]Histogram, len(m.whole)),
 		Config:   m.config,
+
+		SampledOut: m.sampled,
+		Failed:     make(map[AttemptKey]uint64, len(m.failed)),
+		Phases:     make(map[string]Histogram, len(m.phases)),
 	}
 	for k, n := range m.ends {
 		out.Ends[k] = n
@@ -126,6 +184,12 @@
 	for code, n := range m.refuses {
 		out.Refusals[code] = n
 	}
+	for k, n := range m.failed {
+		out.Failed[k] = n
+	}
+	for name, h := range m.phases {
+		out.Phases[name] = h.copy()
+	}
 	for route, h := range m.first {
 		out.First[route] = h.copy()
 	}
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -123,7 +123,8 @@
 	if !live {
 		return effects
 	}
-	g.log.Info(string(eventReserved), "request", r.message.ID, "upstream", choice.ID, "tokens", tokens,
+	g.metrics.phase(PhasePlace, now.Sub(r.arrived))
+	g.note(r, eventReserved, "upstream", choice.ID, "tokens", tokens,
 		"asked", len(asks), "held_tokens", choice.Tokens, "waited_ms", now.Sub(r.arrived).Milliseconds())
 	return append(effects, g.prefill(h, r)...)
 }
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -72,7 +72,8 @@
 		}
 	})
 	if result.Reach == runner.Answered {
-		g.log.Info(string(eventPrefilled), "request", r.message.ID, "upstream", choice.ID, "tokens", prompt,
+		g.metrics.phase(PhasePrefill, now.Sub(r.prefillAt))
+		g.note(r, eventPrefilled, "upstream", choice.ID, "tokens", prompt,
 			"took_ms", now.Sub(r.prefillAt).Milliseconds(), "held_tokens", choice.Tokens)
 		return append(g.stream(h, r, handle), g.roomFreed(h, r.service)...)
 	}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -21,7 +21,7 @@
 		return g.admit(h, m, sink, answer)
 	})
 	if err != nil {
-		return contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests")
+		return g.logOverloaded(m, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
 	}
 	if admitted.refusal != nil {
 		return admitted.refusal
@@ -58,6 +58,7 @@
 		return nil
 	}
 	g.insert(h, r)
+	g.logAdmitted(r)
 	g.budget(h, r.service, (*retry.Budget).First)
 	answer(admission{request: r})
 	switch {
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -142,7 +142,7 @@
 		r.failed(choice.ID)
 	}
 	if g.mayGoOn(h, r, result) {
-		g.log.Info(string(eventRetried), "request", r.message.ID, "attempts", r.attempts, "after_event", r.last,
+		g.noteTrouble(r, eventRetried, "attempts", r.attempts, "after_event", r.last,
 			"slack_ms", r.slack(now).Milliseconds(), "left_ms", r.left(now).Milliseconds())
 		return append(effects, g.again(h, r)...)
 	}
--- a/instance/gateway/wait.go
+++ b/instance/gateway/wait.go
@@ -83,7 +83,7 @@
 	now := g.clock.Now()
 	if r.waitsFor != why {
 		r.waitsFor = why
-		g.log.Info(string(eventParked), "request", r.message.ID, "for", why, "patience_ms", r.patience(now).Milliseconds())
+		g.note(r, eventParked, "for", why, "patience_ms", r.patience(now).Milliseconds())
 	}
 	if r.patience(now) <= 0 {
 		return g.finish(h, r, g.noRoom(r))
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -33,11 +34,21 @@
 // Story is what is known of one request.
 type Story struct {
 	Request string `json:"request"`
-	// Lines are the request's own, in the order in which they were written.
+	// Parts are what each gateway did with it, in the order in which its caller
+	// sent it: each time the caller has less time left. Clocks may differ.
+	Parts []Part `json:"parts"`
+	// Missing says what the logs do not tell.
+	Missing []string `json:"missing,omitempty"`
+}
+
+// Part is what one gateway did.
+type Part struct {
+	Source string `json:"source"`
+	// Lines are the request's own, in the order in which they were decided.
 	Lines []Line `json:"lines"`
-	// Around are changes of what its gateway believed shortly before its end.
+	// Around are changes of what the gateway believed shortly before the end.
 	Around []Line `json:"around"`
-	// Missing says what the logs do not tell.
+	// Missing says what its log does not tell.
 	Missing []string `json:"missing,omitempty"`
 }
 
@@ -99,7 +110,13 @@
 		if what == "" || err != nil {
 			continue
 		}
-		for _, own := range []string{"@message", "@timestamp", "@level", "@module"} {
+		if held, ok := fields["at"].(string); ok {
+			// A line that was held back carries the time of its decision.
+			if then, err := time.Parse(time.RFC3339Nano, held); err == nil {
+				at = then
+			}
+		}
+		for _, own := range []string{"at", "@message", "@timestamp", "@level", "@module"} {
 			delete(fields, own)
 		}
 		out = append(out, Line{Source: strings.TrimSpace(source + " " + lastWord(string(before))), At: at, What: what, Fields: fields})
@@ -117,51 +134,90 @@
 	return words[len(words)-1]
 }
 
-// Tell picks out what concerns a request. Lines of one source keep their order:
-// clocks of different machines may differ.
+// Tell picks out what concerns a request.
 func Tell(request string, all []Line) Story {
 	s := Story{Request: request}
 	for _, l := range all {
-		if l.Fields["request"] == request {
-			s.Lines = append(s.Lines, l)
+		if l.Fields["request"] != request {
+			continue
+		}
+		at := slices.IndexFunc(s.Parts, func(p Part) bool { return p.Source == l.Source })
+		if at < 0 {
+			at = len(s.Parts)
+			s.Parts = append(s.Parts, Part{Source: l.Source})
 		}
+		s.Parts[at].Lines = append(s.Parts[at].Lines, l)
 	}
-	if len(s.Lines) == 0 {
+	if len(s.Parts) == 0 {
 		s.Missing = append(s.Missing, "no line names the request: it reached none of these gateways, or lines were dropped")
-		return s
 	}
-	last := s.Lines[len(s.Lines)-1]
-	if last.What != "request_ended" && last.What != "request_refused" {
-		s.Missing = append(s.Missing, "its end was not logged: the gateway was killed, or lines were dropped")
+	for i := range s.Parts {
+		s.Parts[i].surround(request, all)
+	}
+	slices.SortStableFunc(s.Parts, func(a, b Part) int { return cmp.Compare(b.patience(), a.patience()) })
+	return s
+}
+
+// patience is how long the caller waits, as the part's first line with it says.
+func (p *Part) patience() float64 {
+	for _, l := range p.Lines {
+		if ms, ok := l.Fields["caller_waits_ms"].(float64); ok {
+			return ms
+		}
 	}
+	return 0
+}
+
+// surround adds what else the gateway logged around the end.
+func (p *Part) surround(request string, all []Line) {
+	last := p.Lines[len(p.Lines)-1]
+	ended := slices.ContainsFunc(p.Lines, func(l Line) bool { return l.What == "request_ended" || l.What == "request_refused" })
+	var final Line
 	for _, l := range all {
-		if l.Source != last.Source || l.Fields["request"] == request {
+		if l.Source != p.Source {
+			continue
+		}
+		if restarted := final.What == "started" && final.At.After(last.At); !restarted {
+			final = l
+		}
+		if l.Fields["request"] == request {
 			continue
 		}
 		near := l.At.After(last.At.Add(-contextBefore)) && !l.At.After(last.At.Add(time.Second))
 		switch {
 		case near && slices.Contains(beliefs, l.What):
-			s.Around = append(s.Around, l)
+			p.Around = append(p.Around, l)
 		case near && l.What == "log_lines_dropped":
-			s.Missing = append(s.Missing, fmt.Sprintf("%v lines of this gateway were dropped", l.Fields["count"]))
+			p.Missing = append(p.Missing, fmt.Sprintf("%v lines of this gateway were dropped", l.Fields["count"]))
 		}
 	}
-	return s
+	if ended {
+		return
+	}
+	after := final.At.Sub(last.At).Seconds()
+	if final.What == "started" && after > 0 {
+		p.Missing = append(p.Missing, fmt.Sprintf("its end: the gateway was killed or frozen, and started anew %.3f s after the line above", after))
+		return
+	}
+	p.Missing = append(p.Missing, fmt.Sprintf("its end: the gateway was killed or frozen, or lines were dropped; its log ends %.3f s after the line above", after))
 }
 
 // print writes a story for people.
 func (s Story) print(out io.Writer) error {
 	var b strings.Builder
-	if len(s.Lines) > 0 {
-		fmt.Fprintf(&b, "request %s at %s\n", s.Request, s.Lines[0].Source)
-		began := s.Lines[0].At
-		for _, l := range s.Lines {
+	for _, p := range s.Parts {
+		fmt.Fprintf(&b, "request %s at %s\n", s.Request, p.Source)
+		began := p.Lines[0].At
+		for _, l := range p.Lines {
 			fmt.Fprintf(&b, "%8.3f s  %s\n", l.At.Sub(began).Seconds(), l.text())
 		}
-		if len(s.Around) > 0 {
+		for _, m := range p.Missing {
+			fmt.Fprintf(&b, "missing: %s\n", m)
+		}
+		if len(p.Around) > 0 {
 			b.WriteString("what its gateway came to believe around its end\n")
 		}
-		for _, l := range s.Around {
+		for _, l := range p.Around {
 			fmt.Fprintf(&b, "%8.3f s  %s\n", l.At.Sub(began).Seconds(), l.text())
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,14 @@
    2.200 front-a {"@level":"info","@message":"request_parked","@module":"g","@timestamp":"2026-01-01T00:00:02.200000Z","for":"those before it","patience_ms":600,"request":"r2"}
    2.700 front-a {"@level":"info","@message":"request_ended","@module":"g","@timestamp":"2026-01-01T00:00:02.700000Z","outcome":"over_capacity","ran":"no","request":"r1"}
    2.800 front-a {"@level":"warn","@message":"log_lines_dropped","@timestamp":"2026-01-01T00:00:02.800000Z","count":7}
+   3.000 front-b {"@level":"info","@message":"request_admitted","@module":"g","@timestamp":"2026-01-01T00:00:03.000000Z","caller_waits_ms":4000,"request":"r3"}
+   4.000 front-b {"@level":"info","@message":"request_ended","@module":"g","@timestamp":"2026-01-01T00:00:04.000000Z","outcome":"answered","request":"r3"}
+   4.100 front-a {"@level":"info","@message":"request_admitted","@module":"g","@timestamp":"2026-01-01T00:00:04.100000Z","at":"2026-01-01T00:00:03.900000Z","caller_waits_ms":9000,"request":"r3"}
+   4.100 front-a {"@level":"info","@message":"call_sent","@module":"g","@timestamp":"2026-01-01T00:00:04.100000Z","upstream":"s1","request":"r3"}
+   5.500 front-a {"@level":"info","@message":"started","@module":"g","@timestamp":"2026-01-01T00:00:05.500000Z"}
+   5.600 front-a {"@level":"info","@message":"attempt_failed","@module":"g","@timestamp":"2026-01-01T00:00:05.600000Z","upstream":"s1","request":"r4"}
+   5.600 front-a {"@level":"info","@message":"request_ended","@module":"g","@timestamp":"2026-01-01T00:00:05.600000Z","outcome":"stream_broken","request":"r4"}
+   5.700 front-a {"@level":"info","@message":"upstream_crashed","@module":"g","@timestamp":"2026-01-01T00:00:05.700000Z","upstream":"s1","request":"r4"}
    9.000 front-a {"@level":"info","@message":"draining","@module":"g","@timestamp":"2026-01-01T00:00:09.000000Z","running":1}
 `
 
@@ -25,7 +33,7 @@
 	if err := os.WriteFile(file, []byte(log), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	for _, request := range []string{"r1", "r2", "unknown"} {
+	for _, request := range []string{"r1", "r2", "r3", "r4", "unknown"} {
 		var out bytes.Buffer
 		if err := Run(&out, request, []string{file}, false); err != nil {
 			t.Fatal(err)
--- a/internal/program/lines.go
+++ b/internal/program/lines.go
@@ -4,8 +4,17 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 )
 
+// linesDropped counts the log lines that found no room, in all of the process.
+var linesDropped atomic.Uint64
+
+// LinesDropped gives how many log lines were dropped since the start.
+func LinesDropped() uint64 {
+	return linesDropped.Load()
+}
+
 // DefaultLogBuffer is the room for log lines that wait to be written, in bytes:
 // a few seconds of a busy process.
 const DefaultLogBuffer = 256 << 10
@@ -37,6 +46,7 @@
 	defer w.mu.Unlock()
 	if len(w.waiting)+len(line) > w.limit {
 		w.dropped++
+		linesDropped.Add(1)
 		return len(line), nil
 	}
 	w.waiting = append(w.waiting, line...)
