Let trefoil-burn read a gateway's metrics; one line for a quota refusal

A gateway counts its service levels with the recorder of the entry and serves them by route and window; trefoil-burn reads them from /metrics or a saved text. Seen: the report of a running gateway.

A request over its quota was logged twice, once with what decided and once with the code.

--- a/cmd/trefoil-burn/main.go
+++ b/cmd/trefoil-burn/main.go
@@ -47,7 +47,7 @@
 	timeout := report.Flag("timeout", "Longest wait for all sources; 5s unless the settings say so.").Duration()
 	latency := report.Flag("latency-goal", "Share of requests that must meet a latency target; 0.95 unless the settings say so.").Float64()
 	answered := report.Flag("answer-goal", "Share of requests within their rate that must be answered; 0.999 unless the settings say so.").Float64()
-	sources := report.Arg("source", "URL of an operators' listener, or a file saved from its /debug/vars.").Strings()
+	sources := report.Arg("source", "URL of an entry's operators' listener or a gateway's /metrics, or a file saved from /debug/vars or /metrics.").Strings()
 	app.Command("version", "Print the version.")
 	chosen, err := app.Parse(args)
 	if err != nil {
--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
@@ -44,10 +45,11 @@
 )
 
 // logRefused records a request that was refused before it had a row.
-func (g *Gateway) logRefused(m *contract.Message, version uint64, refusal *contract.Refusal) {
-	g.metrics.refused(refusal.Code)
-	g.log.Info(string(eventRefused), "request", m.ID, "code", refusal.Code, "reason", refusal.Reason,
-		"config", version, "after_ms", refusal.After.Milliseconds())
+func (g *Gateway) logRefused(m *contract.Message, version uint64, route *directory.Route, refusal *contract.Refusal, inputs ...any) {
+	g.metrics.refused(g.clock.Now(), route, refusal.Code)
+	args := []any{"request", m.ID, "code", refusal.Code, "reason", refusal.Reason,
+		"config", version, "after_ms", refusal.After.Milliseconds()}
+	g.log.Info(string(eventRefused), append(args, inputs...)...)
 }
 
 // recordEnd records how a request ended.
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -127,7 +127,7 @@
 		o.Log = hclog.NewNullLogger()
 	}
 	if o.Metrics == nil {
-		o.Metrics = NewMetrics()
+		o.Metrics = NewMetrics(o.Clock.Now())
 	}
 	if o.MaxRequests < 1 {
 		o.MaxRequests = DefaultMaxRequests
--- a/instance/gateway/journal.go
+++ b/instance/gateway/journal.go
@@ -90,9 +90,14 @@
 
 // late reports whether an answer came later than what earns the full credit.
 func (r *request) late() bool {
-	if r.route.Objective > 0 && !r.firstAt.IsZero() && r.firstAt.Sub(r.arrived) > r.route.Objective {
-		return true
-	}
+	return r.lateFirst() || r.lateGap()
+}
+
+func (r *request) lateFirst() bool {
+	return r.route.Objective > 0 && !r.firstAt.IsZero() && r.firstAt.Sub(r.arrived) > r.route.Objective
+}
+
+func (r *request) lateGap() bool {
 	return r.route.MaxGap > 0 && r.longestGap > r.route.MaxGap
 }
 
@@ -105,6 +110,6 @@
 
 // logOverloaded records a request that found no room in the process.
 func (g *Gateway) logOverloaded(m *contract.Message, refusal *contract.Refusal) *contract.Refusal {
-	g.logRefused(m, 0, refusal)
+	g.logRefused(m, 0, nil, refusal)
 	return refusal
 }
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/burn"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 )
 
@@ -75,11 +77,13 @@
 	sampled uint64
 	failed  map[AttemptKey]uint64
 	phases  map[string]*Histogram
+	levels  *burn.Recorder
 }
 
 // NewMetrics returns counters at zero.
-func NewMetrics() *Metrics {
+func NewMetrics(now time.Time) *Metrics {
 	return &Metrics{
+		levels:  burn.NewRecorder(now),
 		ends:    make(map[OutcomeKey]uint64),
 		refuses: make(map[contract.Code]uint64),
 		first:   make(map[contract.RouteName]*Histogram),
@@ -119,10 +123,19 @@
 	m.sampled++
 }
 
-func (m *Metrics) refused(code contract.Code) {
+// refused counts a request that was refused at once; route is nil if none matched.
+func (m *Metrics) refused(now time.Time, route *directory.Route, code contract.Code) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.refuses[code]++
+	if route == nil {
+		return
+	}
+	c := burn.Counts{Asked: 1, Refused: 1}
+	if code == contract.CodeRateLimited {
+		c.RateRefused = 1
+	}
+	m.levels.Record(now, burn.Event{Key: burn.Key{Route: route.Name}, Counts: c})
 }
 
 func (m *Metrics) ended(r *request, refusal *contract.Refusal, now time.Time) {
@@ -133,6 +146,7 @@
 		outcome = string(refusal.Code)
 	}
 	m.ends[OutcomeKey{r.route.Name, outcome}]++
+	m.levels.Record(now, r.counted(refusal))
 	if !r.firstAt.IsZero() {
 		histogram(m.first, r.route.Name).add(r.firstAt.Sub(r.arrived))
 	}
@@ -141,6 +155,30 @@
 	}
 }
 
+// counted is what an ended request adds to the service levels of its route.
+func (r *request) counted(refusal *contract.Refusal) burn.Event {
+	e := burn.Event{Key: burn.Key{Route: r.route.Name}, Counts: burn.Counts{Asked: 1}, LongestGap: r.longestGap}
+	wasted := r.reads
+	if refusal != nil {
+		e.Refused = 1
+	} else {
+		wasted = max(0, wasted-1)
+	}
+	e.PrefillTokens = uint64(r.reads) * uint64(r.message.Prompt)
+	e.WastedTokens = uint64(wasted) * uint64(r.message.Prompt)
+	if r.firstAt.IsZero() {
+		return e
+	}
+	e.Answered, e.FirstToken = 1, r.firstAt.Sub(r.arrived)
+	if r.lateFirst() {
+		e.LateFirst = 1
+	}
+	if r.lateGap() {
+		e.LateGap = 1
+	}
+	return e
+}
+
 func histogram[K comparable](of map[K]*Histogram, key K) *Histogram {
 	h, ok := of[key]
 	if !ok {
@@ -161,10 +199,12 @@
 	// Failed are calls that led to no answer.
 	Failed map[AttemptKey]uint64
 	Phases map[string]Histogram
+	// Levels are the service levels by route, over several windows.
+	Levels burn.Snapshot
 }
 
 // Read copies the counters.
-func (m *Metrics) Read() Reading {
+func (m *Metrics) Read(now time.Time) Reading {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := Reading{
@@ -184,6 +224,7 @@
 	for code, n := range m.refuses {
 		out.Refusals[code] = n
 	}
+	out.Levels = m.levels.Snapshot(now, "")
 	for k, n := range m.failed {
 		out.Failed[k] = n
 	}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
@@ -75,10 +76,11 @@
 func (g *Gateway) newRequest(h *table.Held, m *contract.Message, sink contract.MessageSink) (*request, *contract.Refusal) {
 	snapshot := g.snapshot(h)
 	if snapshot == nil {
-		return nil, g.refuse(m, 0, contract.RefuseRepeat(contract.CodeNoConfig, g.options.ReturnAfter, "no configuration is known yet"))
+		return nil, g.refuse(m, 0, nil, contract.RefuseRepeat(contract.CodeNoConfig, g.options.ReturnAfter, "no configuration is known yet"))
 	}
-	refuse := func(refusal *contract.Refusal) (*request, *contract.Refusal) {
-		return nil, g.refuse(m, snapshot.Version, refusal)
+	route := snapshot.Route(m.Host, m.Path)
+	refuse := func(refusal *contract.Refusal, inputs ...any) (*request, *contract.Refusal) {
+		return nil, g.refuse(m, snapshot.Version, route, refusal, inputs...)
 	}
 	if g.closed.Load() {
 		return refuse(contract.RefuseRepeat(contract.CodeDraining, minReturn, "the process is shutting down"))
@@ -86,7 +88,6 @@
 	if g.running.Load() >= int64(g.options.MaxRequests) {
 		return refuse(contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
 	}
-	route := snapshot.Route(m.Host, m.Path)
 	if route == nil {
 		return refuse(contract.Refuse(contract.CodeRouteUnknown, "no route for the host and path"))
 	}
@@ -101,15 +102,15 @@
 	if refusal := g.quarantined(h, r); refusal != nil {
 		return refuse(refusal)
 	}
-	if refusal := g.charge(h, r); refusal != nil {
-		return refuse(refusal)
+	if refusal, inputs := g.charge(h, r); refusal != nil {
+		return refuse(refusal, inputs...)
 	}
 	r.ctx, r.cancel = context.WithDeadline(g.ctx, r.deadline)
 	return r, nil
 }
 
-func (g *Gateway) refuse(m *contract.Message, version uint64, refusal *contract.Refusal) *contract.Refusal {
-	g.logRefused(m, version, refusal)
+func (g *Gateway) refuse(m *contract.Message, version uint64, route *directory.Route, refusal *contract.Refusal, inputs ...any) *contract.Refusal {
+	g.logRefused(m, version, route, refusal, inputs...)
 	return refusal
 }
 
@@ -138,10 +139,11 @@
 	return r
 }
 
-// charge takes the request's cost from its account.
-func (g *Gateway) charge(h *table.Held, r *request) *contract.Refusal {
+// charge takes the request's cost from its account. A refusal comes with what
+// decided it.
+func (g *Gateway) charge(h *table.Held, r *request) (refusal *contract.Refusal, inputs []any) {
 	if r.account == nil || !r.account.Quota.Limited() {
-		return nil
+		return nil, nil
 	}
 	now := g.clock.Now()
 	cost := r.account.Quota.Cost(r.message)
@@ -149,11 +151,11 @@
 	g.quotas.With(h, func(m **quota.Meter) { d = (*m).Admit(now, r.account, cost) })
 	if d.Granted {
 		r.cost = cost
-		return nil
+		return nil, nil
 	}
-	g.log.Info(string(eventRefused), "request", r.message.ID, "account", r.account.ID, "cost", d.Cost, "level", d.Level,
-		"silent_peers", d.Silent, "per_second", r.account.Quota.PerSecond, "burst", r.account.Quota.Burst)
-	return contract.RefuseRepeat(contract.CodeRateLimited, max(d.After, minReturn), "the account is over its quota")
+	inputs = []any{"account", r.account.ID, "cost", d.Cost, "level", math.Round(d.Level),
+		"silent_peers", d.Silent, "per_second", r.account.Quota.PerSecond, "burst", r.account.Quota.Burst}
+	return contract.RefuseRepeat(contract.CodeRateLimited, max(d.After, minReturn), "the account is over its quota"), inputs
 }
 
 // MaxTime bounds a request whose route and caller name no limit.
--- a/instance/gateway/status.go
+++ b/instance/gateway/status.go
@@ -26,7 +26,7 @@
 // Status looks at the tables.
 func (g *Gateway) Status() Status {
 	h, now := table.NewHeld(), g.clock.Now()
-	s := Status{Running: g.Running(), Queued: g.pool.Queued(), Gateways: g.processes(h, now), Away: g.turnedAway(h), ConfigAge: -1}
+	s := Status{Running: g.Running(), Queued: g.pool.Queued(), Gateways: g.processes(h, now), Away: g.turnedAway(h), ConfigAge: -time.Second}
 	g.config.With(h, func(c **configuration) {
 		if (*c).now != nil {
 			s.ConfigAge = now.Sub((*c).at)
--- a/link/burnstats/stats.go
+++ b/link/burnstats/stats.go
@@ -3,6 +3,7 @@
 package burnstats
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -48,22 +49,32 @@
 	Key    string
 }
 
-// Read gives the snapshots of a source: an URL with or without the path
-// /debug/vars, or the name of a file with what that path answered.
+// Read gives the snapshots of a source: an URL with the path /metrics of a
+// gateway, one with or without the path /debug/vars of an entry, or the name of a
+// file with what one of them answered.
 func (s *Source) Read(ctx context.Context, name string) ([]burn.Snapshot, error) {
 	body, err := s.open(ctx, name)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %s: %w", ErrUnreachable, name, err)
 	}
 	defer body.Close()
-	return Decode(io.LimitReader(body, maxBytes))
+	limited := bufio.NewReader(io.LimitReader(body, maxBytes))
+	// JSON begins with a brace, metrics text never does.
+	if first, err := limited.Peek(1); err == nil && first[0] != '{' {
+		s, err := DecodeText(limited)
+		if err != nil {
+			return nil, err
+		}
+		return []burn.Snapshot{s}, nil
+	}
+	return Decode(limited)
 }
 
 func (s *Source) open(ctx context.Context, name string) (io.ReadCloser, error) {
 	if !strings.HasPrefix(name, "http://") && !strings.HasPrefix(name, "https://") {
 		return os.Open(name)
 	}
-	if !strings.HasSuffix(name, "/debug/vars") {
+	if !strings.HasSuffix(name, "/debug/vars") && !strings.HasSuffix(name, "/metrics") {
 		name = strings.TrimSuffix(name, "/") + "/debug/vars"
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, name, nil)
