--- a/instance/gateway/status.go
+++ b/instance/gateway/status.go
@@ -17,7 +17,7 @@
 	// those that take requests or drain.
 	Gateways, Upstreams int
 	// ConfigAge is how long ago the configuration was known to be the newest,
-	// negative if none is known.
+	// minus one second if none is known.
 	ConfigAge time.Duration
 	// Away says that the registry does not answer.
 	Away bool
