Keep a KV cache that no engine fetched for the next attempt

A stream that broke off before its first event had its prompt read again, though the cache may still wait at the prefill engine. It is offered to the next decode engine first, and freed if the request ends; an engine that misses it says so before it runs anything, and then the prompt is read. Four cases of TestOutcomes fail without it.

Ruled out: one bad engine (all seven decode engines reset, 3 to 11 each).

--- a/instance/gateway/path_test.go
+++ b/instance/gateway/path_test.go
@@ -50,7 +50,19 @@
 		},
 		{
 			name: "a resumable stream breaks before its first event", path: "/resumable/1", answers: queued{"stream": {broken}},
-			body: "1 2 3 4 5 ", calls: map[string]int{"stream": 2},
+			body: "1 2 3 4 5 ", calls: map[string]int{"prefill": 1, "stream": 2},
+		},
+		{
+			name: "the engine had fetched the KV cache before it broke off", path: "/resumable/1", answers: queued{"stream": {broken, full}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"stream": 3, "prefill": 2},
+		},
+		{
+			name: "no connection to the engine that was to fetch the KV cache", path: "/stream/1", answers: queued{"stream": {notSent}},
+			body: "1 2 3 4 5 ", calls: map[string]int{"stream": 2, "prefill": 1},
+		},
+		{
+			name: "a KV cache that nobody fetched is freed", path: "/stream/1", answers: queued{"stream": {broken}},
+			code: contract.CodeUpstreamFailed, ran: contract.RanUnknown, calls: map[string]int{"stream": 1, "prefill": 1, "free": 1},
 		},
 		{
 			name: "a stream breaks off", path: "/stream/1", answers: queued{"stream": {torn}},
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -27,6 +27,10 @@
 	if refusal := g.stopped(h, r); refusal != nil {
 		return g.finish(h, r, refusal)
 	}
+	if source := r.spare; source.ID != "" {
+		r.spare, r.reused = runner.Handle{}, true
+		return g.stream(h, r, source)
+	}
 	now := g.clock.Now()
 	choices := g.choose(h, now, r, upstream.RolePrefill, r.place)
 	if len(choices) == 0 || r.prefills >= MaxPrefills || r.reads > 0 && !g.mayRetry(h, r, contract.RanNo) {
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -54,8 +54,12 @@
 	// what is known of them. prefills counts the readings of the prompt for the
 	// current place, reads all of them.
 	attempts, prefills, reads int
-	ran                       contract.Ran
-	exclude                   []upstream.ID
+	// spare is a KV cache that the engine it was meant for may not have fetched;
+	// reused says that the place is tried with one.
+	spare   runner.Handle
+	reused  bool
+	ran     contract.Ran
+	exclude []upstream.ID
 
 	// saved is a failure that an upstream answered, for want of anything better.
 	saved *runner.Answer
@@ -199,6 +203,9 @@
 	}
 	refusal = r.truthful(refusal)
 	effects := g.leave(h, r)
+	if r.spare.ID != "" {
+		effects = append(effects, g.freeHandle(r.spare, r))
+	}
 	if refusal != nil && r.ran == contract.RanNo && r.cost > 0 {
 		g.refund(h, r)
 	}
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -120,6 +120,8 @@
 		}
 	}
 	g.logAttempt(r, "stream", choice, result)
+	reused := r.reused
+	r.reused = false
 	if refusal := g.stopped(h, r); refusal != nil {
 		if result.Reach != runner.Broken && source.ID != "" {
 			effects = append(effects, g.freeHandle(source, r))
@@ -130,7 +132,16 @@
 	case result.Reach == runner.Broken:
 		effects = append(effects, g.checkCrash(r, choice)...)
 		r.failed(choice.ID)
-	case result.Reach == runner.Rejected && source.ID != "" && !result.Misdirected:
+		if r.events == 0 {
+			r.spare = source
+		}
+	case result.Reach == runner.NotSent || result.Misdirected:
+		r.failed(choice.ID)
+		r.spare = source
+	case result.Reach == runner.Rejected && reused:
+		// The engine that broke off had fetched it after all.
+		r.failed(choice.ID)
+	case result.Reach == runner.Rejected && source.ID != "":
 		// Its memory was reserved: it misses the KV cache, or takes no work.
 		g.board.With(h, func(b **roster.Board) {
 			(*b).KeptBadly(now, *r.reader)
