Soak: slow and one-way links, lost answers and history of the store, configurations

Configurations that let a second key come and go are written while all else breaks; in the end each gateway must go by the last one.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/instance/clock"
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/userplatform"
 )
 
@@ -33,15 +34,21 @@
 }
 
 const (
-	key     = "a-callers-key"
-	account = "weaver"
-	host    = "soak.example"
+	key = "a-callers-key"
+	// secondKey comes and goes with configurations.
+	secondKey = "another-key"
+	account   = "weaver"
+	host      = "soak.example"
 	// patience is how long callers wait.
 	patience = 4 * time.Second
 )
 
 // configuration is what the operator writes.
-func configuration(version int) map[string]any {
+func configuration(version int, second bool) map[string]any {
+	keys := []string{key}
+	if second {
+		keys = append(keys, secondKey)
+	}
 	var routes []map[string]any
 	for _, k := range kinds {
 		wire := map[string]any{
@@ -62,7 +69,7 @@
 			{"name": "engines", "engine": map[string]any{"slots": 64, "kv_tokens": 123_000, "kv_hold_s": 0.5, "stage_switch_s": 1, "hold_ms": 2000}},
 			{"name": "desk"},
 		},
-		"tenants": []map[string]any{{"name": account, "api_keys": []string{key}}},
+		"tenants": []map[string]any{{"name": account, "api_keys": keys}},
 	}
 }
 
@@ -89,7 +96,7 @@
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	status, body, err := send(ctx, client, g.callers, k, id)
+	status, body, err := send(ctx, client, g.callers, k, id, key)
 	outcome := strconv.Itoa(status)
 	if err != nil {
 		outcome += " broken"
@@ -126,7 +133,7 @@
 	return "body of " + id
 }
 
-func send(ctx context.Context, client *http.Client, addr string, k kind, id string) (int, string, error) {
+func send(ctx context.Context, client *http.Client, addr string, k kind, id, credential string) (int, string, error) {
 	q, err := http.NewRequestWithContext(ctx, k.method, "http://"+addr+"/"+k.name+"/x", strings.NewReader(bodyOf(k, id)))
 	if err != nil {
 		return 0, "", err
@@ -135,7 +142,7 @@
 	q.GetBody = nil
 	q.Host = host
 	q.Header.Set("Request-Id", id)
-	q.Header.Set("Credential", key)
+	q.Header.Set("Credential", credential)
 	q.Header.Set("Tenant", "forged")
 	q.Header.Set("Request-Timeout-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
 	if k.stream {
@@ -150,6 +157,29 @@
 	return resp.StatusCode, string(body), err
 }
 
+// checkKeys asks each gateway with the second key: all must go by the last
+// configuration, whatever they missed of those before.
+func (s *soak) checkKeys(ctx context.Context) {
+	want := http.StatusUnauthorized
+	if s.secondHolds() {
+		want = http.StatusOK
+	}
+	end := time.Now().Add(s.options.RecoverWithin)
+	for i, g := range s.gateways {
+		for {
+			status, _, err := send(ctx, http.DefaultClient, g.callers, kinds[1], fmt.Sprintf("key-%d", i), secondKey)
+			if status == want && err == nil {
+				break
+			}
+			if time.Now().After(end) || ctx.Err() != nil {
+				s.broken("gateway %d answers the second key with %d (%v) after configuration %d, want %d", i, status, err, s.changes, want)
+				break
+			}
+			clock.Wait(ctx, askAgainAfter)
+		}
+	}
+}
+
 // check compares what callers got with what upstreams ran.
 func (s *soak) check() {
 	for id, a := range s.asked {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,14 @@
 	"io"
 	"net"
 	"sync"
+	"time"
+)
+
+// The directions of a connection.
+const (
+	toTarget = iota
+	fromTarget
+	directions
 )
 
 // proxy carries connections to an address and can break them: all are reset, or
@@ -13,9 +21,11 @@
 	target   string
 
 	mu sync.Mutex
-	// opened is closed when silence ends.
-	opened chan struct{}
-	conns  map[net.Conn]struct{}
+	// opened is closed when silence ends, for each direction.
+	opened [directions]chan struct{}
+	// delay holds back what is carried.
+	delay time.Duration
+	conns map[net.Conn]struct{}
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -50,8 +60,8 @@
 	p.conns[c], p.conns[upstream] = struct{}{}, struct{}{}
 	p.mu.Unlock()
 	var both sync.WaitGroup
-	both.Go(func() { p.copy(upstream, c) })
-	both.Go(func() { p.copy(c, upstream) })
+	both.Go(func() { p.copy(toTarget, upstream, c) })
+	both.Go(func() { p.copy(fromTarget, c, upstream) })
 	both.Wait()
 	p.mu.Lock()
 	delete(p.conns, c)
@@ -61,13 +71,16 @@
 
 // copy carries one direction and ends both sides with it. An end that is not clean
 // must not look like one.
-func (p *proxy) copy(to, from net.Conn) {
+func (p *proxy) copy(direction int, to, from net.Conn) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		p.mu.Lock()
-		opened := p.opened
+		opened, delay := p.opened[direction], p.delay
 		p.mu.Unlock()
+		if delay > 0 {
+			time.Sleep(delay)
+		}
 		if opened != nil {
 			<-opened
 		}
@@ -89,19 +102,35 @@
 	}
 }
 
-// setSilent holds back all bytes, or lets them go again.
-func (p *proxy) setSilent(silent bool) {
+// setSilent holds back the bytes of some directions, or lets them go again.
+func (p *proxy) setSilent(silent bool, which ...int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	switch {
-	case silent && p.opened == nil:
-		p.opened = make(chan struct{})
-	case !silent && p.opened != nil:
-		close(p.opened)
-		p.opened = nil
+	for _, direction := range which {
+		opened := &p.opened[direction]
+		switch {
+		case silent && *opened == nil:
+			*opened = make(chan struct{})
+		case !silent && *opened != nil:
+			close(*opened)
+			*opened = nil
+		}
 	}
 }
 
+// setDelay holds back what is carried for a while.
+func (p *proxy) setDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// heal ends all that was done to the proxy.
+func (p *proxy) heal() {
+	p.setSilent(false, toTarget, fromTarget)
+	p.setDelay(0)
+}
+
 // resetAll resets all connections.
 func (p *proxy) resetAll() {
 	p.mu.Lock()
@@ -120,6 +149,6 @@
 
 func (p *proxy) close() {
 	_ = p.listener.Close()
-	p.setSilent(false)
+	p.heal()
 	p.resetAll()
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -54,6 +54,9 @@
 	storeVia *proxy
 	servers  []*http.Server
 
+	// changes counts the configurations; in every other one a second key holds.
+	changes int
+
 	mu     sync.Mutex
 	report Report
 	// asked are all requests that were sent, by their identifiers.
@@ -108,6 +111,7 @@
 	if !recovered {
 		s.broken("requests are not served %v after the last fault", s.options.RecoverWithin)
 	}
+	s.checkKeys(ctx)
 	s.check()
 	return s.report, nil
 }
@@ -139,7 +143,7 @@
 			return err
 		}
 	}
-	if err := s.store.Put("op", "config", configuration(1)); err != nil {
+	if err := s.configure(); err != nil {
 		return err
 	}
 	for i := range s.options.Gateways {
@@ -192,26 +196,54 @@
 	{"store away", func(s *soak) { s.store.SetAway(true) }},
 	{"store back", func(s *soak) { s.store.SetAway(false) }},
 	{"store reset", func(s *soak) { s.storeVia.resetAll() }},
-	{"store silent", func(s *soak) { s.storeVia.setSilent(true) }},
-	{"store heard", func(s *soak) { s.storeVia.setSilent(false) }},
+	{"store silent", func(s *soak) { s.storeVia.setSilent(true, toTarget, fromTarget) }},
+	{"store cut one way", func(s *soak) { s.storeVia.setSilent(true, s.random.IntN(directions)) }},
+	{"store slow", func(s *soak) { s.storeVia.setDelay(s.aWhile()) }},
+	{"store heard", func(s *soak) { s.storeVia.heal() }},
+	{"store loses answers", func(s *soak) { s.store.SetLosing(true) }},
+	{"store keeps answers", func(s *soak) { s.store.SetLosing(false) }},
+	{"store forgets", func(s *soak) { s.store.Forget() }},
+	{"configuration", func(s *soak) { s.reconfigure() }},
 	{"runner reset", func(s *soak) { s.anyRunner().via.resetAll() }},
-	{"runner silent", func(s *soak) { s.anyRunner().via.setSilent(true) }},
-	{"runner heard", func(s *soak) { s.anyRunner().via.setSilent(false) }},
+	{"runner silent", func(s *soak) { s.anyRunner().via.setSilent(true, toTarget, fromTarget) }},
+	{"runner cut one way", func(s *soak) { s.anyRunner().via.setSilent(true, s.random.IntN(directions)) }},
+	{"runner slow", func(s *soak) { s.anyRunner().via.setDelay(s.aWhile()) }},
+	{"runner heard", func(s *soak) { s.anyRunner().via.heal() }},
 	{"runner rejects", func(s *soak) { s.anyRunner().runner.SetFaults(userplatform.Faults{Reject: 0.5}) }},
 	{"runner loses answers", func(s *soak) { s.anyRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3}) }},
 	{"runner breaks off", func(s *soak) { s.anyRunner().runner.SetFaults(userplatform.Faults{Break: 0.5}) }},
 	{"runner is sound", func(s *soak) { s.anyRunner().runner.SetFaults(userplatform.Faults{}) }},
 }
 
+// aWhile is a delay of a link.
+func (s *soak) aWhile() time.Duration { return time.Duration(5+s.random.IntN(200)) * time.Millisecond }
+
+// configure writes the next configuration.
+func (s *soak) configure() error {
+	s.changes++
+	return s.store.Put("op", "config", configuration(s.changes, s.secondHolds()))
+}
+
+// reconfigure does it while gateways run.
+func (s *soak) reconfigure() {
+	if err := s.configure(); err != nil {
+		s.broken("the configuration was not written: %v", err)
+	}
+}
+
+// secondHolds reports whether the second key is part of the configuration.
+func (s *soak) secondHolds() bool { return s.changes%2 == 0 }
+
 func (s *soak) anyGateway() *process { return s.gateways[s.random.IntN(len(s.gateways))] }
 func (s *soak) anyRunner() *standing { return s.runners[s.random.IntN(len(s.runners))] }
 
 // heal ends all faults.
 func (s *soak) heal() {
 	s.store.SetAway(false)
-	s.storeVia.setSilent(false)
+	s.store.SetLosing(false)
+	s.storeVia.heal()
 	for _, r := range s.runners {
-		r.via.setSilent(false)
+		r.via.heal()
 		r.runner.SetFaults(userplatform.Faults{})
 	}
 	for _, g := range s.gateways {
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -28,6 +28,9 @@
 	changed chan struct{}
 	away    bool
 	began   time.Time
+	// losing answers of writes; forgotten is the version up to which changes are.
+	losing    bool
+	forgotten uint64
 }
 
 // NewStore returns an empty store.
@@ -43,6 +46,21 @@
 	s.wake()
 }
 
+// SetLosing makes the store lose the answers of writes that it carries out.
+func (s *Store) SetLosing(losing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.losing = losing
+}
+
+// Forget drops the history of changes: feeds must read all rows again.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.version
+	s.wake()
+}
+
 // Put writes a row as the platform itself; a nil value removes it.
 func (s *Store) Put(table, key string, value any) error {
 	s.mu.Lock()
@@ -124,6 +142,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if after < s.forgotten {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(rows) > 0 || wait == 0 {
 			s.answer(w, rows)
 			s.mu.Unlock()
@@ -164,5 +187,8 @@
 		s.rows[r.Table+"/"+r.Key] = r
 	}
 	s.wake()
+	if s.losing {
+		panic(http.ErrAbortHandler)
+	}
 	s.answer(w, nil)
 }
