--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -111,7 +111,11 @@
 	if !recovered {
 		s.broken("requests are not served %v after the last fault", s.options.RecoverWithin)
 	}
-	s.checkKeys(ctx)
+	// Once with the second key and once without it.
+	for range 2 {
+		s.reconfigure()
+		s.checkKeys(ctx)
+	}
 	s.check()
 	return s.report, nil
 }
