--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -69,7 +69,7 @@
 		switch {
 		case r.late():
 			g.noteTrouble(r, eventEnded, append(args, "late", true)...)
-		case r.story.dropped():
+		case r.log.dropped():
 			g.metrics.sampledOut()
 		default:
 			g.note(r, eventEnded, args...)
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -93,7 +93,7 @@
 	cancel context.CancelFunc
 	// running counts the rows of requests, sequence numbers them.
 	running  atomic.Int64
-	detail   detail
+	sampler  sampler
 	sequence atomic.Uint64
 
 	config   *table.Single[*configuration]
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -30,7 +30,7 @@
 	fingerprint contract.Fingerprint
 	cost        float64
 	version     uint64
-	story       story
+	log         requestLog
 
 	arrived, deadline time.Time
 	// ctx ends with the deadline, the caller or the process.
--- a/instance/gateway/journal.go
+++ b/instance/gateway/requestlog.go
@@ -15,33 +15,34 @@
 	maxHeld = 32
 )
 
-// detail chooses the requests that are logged in full: all of them up to a rate.
+// sampler chooses the requests that are logged in full: all of them up to a rate.
 // Of the others only those that fail or are late are logged, with all their lines.
-type detail struct {
+type sampler struct {
 	mu     sync.Mutex
 	tokens float64
 	at     time.Time
 }
 
-func (d *detail) take(now time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.at.IsZero() {
-		d.tokens = detailedPerSecond
-	} else if now.After(d.at) {
-		d.tokens = min(detailedPerSecond, d.tokens+now.Sub(d.at).Seconds()*detailedPerSecond)
+// take reports whether another request may be logged in full.
+func (s *sampler) take(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at.IsZero() {
+		s.tokens = detailedPerSecond
+	} else if now.After(s.at) {
+		s.tokens = min(detailedPerSecond, s.tokens+now.Sub(s.at).Seconds()*detailedPerSecond)
 	}
-	d.at = now
-	if d.tokens < 1 {
+	s.at = now
+	if s.tokens < 1 {
 		return false
 	}
-	d.tokens--
+	s.tokens--
 	return true
 }
 
-// story is the log lines of one request. Steps and the end of a request may write
-// at the same time.
-type story struct {
+// requestLog is the log lines of one request. Its lock is taken after those of the
+// tables, since steps and the end of a request may write at the same time.
+type requestLog struct {
 	mu    sync.Mutex
 	quiet bool
 	held  []heldLine
@@ -56,7 +57,7 @@
 // note records a decision on a request.
 func (g *Gateway) note(r *request, e event, args ...any) {
 	args = append([]any{"request", r.message.ID}, args...)
-	s := &r.story
+	s := &r.log
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.quiet {
@@ -71,7 +72,7 @@
 // noteTrouble records a decision on a request that does not go well, and all that
 // was held back of it, with the times of then.
 func (g *Gateway) noteTrouble(r *request, e event, args ...any) {
-	s := &r.story
+	s := &r.log
 	s.mu.Lock()
 	for _, l := range s.held {
 		g.log.Info(string(l.event), append(l.args, "at", l.at.UTC().Format(time.RFC3339Nano))...)
@@ -82,7 +83,7 @@
 }
 
 // dropped reports whether the lines of a request that went well stay unwritten.
-func (s *story) dropped() bool {
+func (s *requestLog) dropped() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.quiet
@@ -103,7 +104,7 @@
 
 // logAdmitted records that a request has a row, with what that rests on.
 func (g *Gateway) logAdmitted(r *request) {
-	r.story.quiet = !g.detail.take(r.arrived)
+	r.log.quiet = !g.sampler.take(r.arrived)
 	g.note(r, eventAdmitted, "route", r.route.Name, "account", r.accountID(), "service", r.service, "config", r.version,
 		"cost", r.cost, "prompt", r.message.Prompt, "caller_waits_ms", r.message.Patience.Milliseconds())
 }
--- a/instance/gateway/journal_test.go
+++ b/instance/gateway/requestlog_test.go
@@ -77,7 +77,7 @@
 				time.Sleep(2 * time.Second)
 				synctest.Wait()
 				if c.busy {
-					for g.detail.take(g.clock.Now()) {
+					for g.sampler.take(g.clock.Now()) {
 					}
 				}
 				f.runners.queue("call", c.answer)
