--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -79,7 +79,7 @@
 		opened, delay := p.opened[direction], p.delay
 		p.mu.Unlock()
 		if delay > 0 {
-			time.Sleep(delay)
+			<-time.After(delay)
 		}
 		if opened != nil {
 			<-opened
