--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -25,22 +25,15 @@
 	if refusal := g.stopped(h, r); refusal != nil {
 		return g.settle(h, r, refusal)
 	}
-	now := g.clock.Now()
-	choices := g.choose(h, now, r, upstream.RoleService, nil)
-	if len(choices) == 0 {
-		return g.settle(h, r, contract.RefuseRepeat(contract.CodeNoUpstream, minReturn, "no upstream takes the request"))
+	others, refusal := g.takePlain(h, r)
+	if refusal != nil {
+		return g.settle(h, r, refusal)
 	}
-	choice := choices[0]
-	g.board.With(h, func(b **roster.Board) {
-		(*b).Took(choice, 0)
-		(*b).Probe(now, choice)
-	})
-	r.place, r.held = &choice, 0
-	r.placedAt = now
+	choice := *r.place
 	r.attempts++
 	g.note(r, eventSent, "upstream", choice.ID, "attempt", r.attempts, "held_calls", choice.Calls)
-	options := r.options(now)
-	again := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && len(choices) > 1
+	options := r.options(r.placedAt)
+	again := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && others > 0
 	return g.perform(r, func() pool.Step {
 		ctx := r.ctx
 		if again {
@@ -53,6 +46,23 @@
 	})
 }
 
+// takePlain gives a request a place at an upstream that runs no model, and says how
+// many others could have had it.
+func (g *Gateway) takePlain(h *table.Held, r *request) (others int, refusal *contract.Refusal) {
+	now := g.clock.Now()
+	choices := g.choose(h, now, r, upstream.RoleService, nil)
+	if len(choices) == 0 {
+		return 0, contract.RefuseRepeat(contract.CodeNoUpstream, minReturn, "no upstream takes the request")
+	}
+	choice := choices[0]
+	g.board.With(h, func(b **roster.Board) {
+		(*b).Took(choice, 0)
+		(*b).Probe(now, choice)
+	})
+	r.place, r.held, r.placedAt = &choice, 0, now
+	return len(choices) - 1, nil
+}
+
 // called delivers the answer, or goes on after a failure.
 func (g *Gateway) called(h *table.Held, r *request, choice roster.Choice, answer runner.Answer, result runner.Result) []pool.Effect {
 	effects := g.leave(h, r)
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -207,39 +209,24 @@
 func (m *Metrics) Read(now time.Time) Reading {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := Reading{
-		Ends:     make(map[OutcomeKey]uint64, len(m.ends)),
-		Refusals: make(map[contract.Code]uint64, len(m.refuses)),
-		First:    make(map[contract.RouteName]Histogram, len(m.first)),
-		Whole:    make(map[contract.RouteName]Histogram, len(m.whole)),
-		Config:   m.config,
-
+	return Reading{
+		Ends:       maps.Clone(m.ends),
+		Refusals:   maps.Clone(m.refuses),
+		First:      copies(m.first),
+		Whole:      copies(m.whole),
+		Config:     m.config,
 		SampledOut: m.sampled,
-		Failed:     make(map[AttemptKey]uint64, len(m.failed)),
-		Phases:     make(map[string]Histogram, len(m.phases)),
-	}
-	for k, n := range m.ends {
-		out.Ends[k] = n
-	}
-	for code, n := range m.refuses {
-		out.Refusals[code] = n
-	}
-	out.Levels = m.levels.Snapshot(now, "")
-	for k, n := range m.failed {
-		out.Failed[k] = n
-	}
-	for name, h := range m.phases {
-		out.Phases[name] = h.copy()
+		Failed:     maps.Clone(m.failed),
+		Phases:     copies(m.phases),
+		Levels:     m.levels.Snapshot(now, ""),
 	}
-	for route, h := range m.first {
-		out.First[route] = h.copy()
-	}
-	for route, h := range m.whole {
-		out.Whole[route] = h.copy()
-	}
-	return out
 }
 
-func (h *Histogram) copy() Histogram {
-	return Histogram{Counts: append([]uint64(nil), h.Counts...), Sum: h.Sum}
+// copies gives histograms that change no more.
+func copies[K comparable](of map[K]*Histogram) map[K]Histogram {
+	out := make(map[K]Histogram, len(of))
+	for key, h := range of {
+		out[key] = Histogram{Counts: slices.Clone(h.Counts), Sum: h.Sum}
+	}
+	return out
 }
--- a/instance/gateway/requestlog.go
+++ b/instance/gateway/requestlog.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/trefoilwalk/trefoilwalk/contract"
 )
 
 const (
@@ -108,9 +106,3 @@
 	g.note(r, eventAdmitted, "route", r.route.Name, "account", r.accountID(), "service", r.service, "config", r.version,
 		"cost", r.cost, "prompt", r.message.Prompt, "caller_waits_ms", r.message.Patience.Milliseconds())
 }
-
-// logOverloaded records a request that found no room in the process.
-func (g *Gateway) logOverloaded(m *contract.Message, refusal *contract.Refusal) *contract.Refusal {
-	g.logRefused(m, 0, nil, refusal)
-	return refusal
-}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -22,7 +22,7 @@
 		return g.admit(h, m, sink, answer)
 	})
 	if err != nil {
-		return g.logOverloaded(m, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
+		return g.refuse(m, 0, nil, contract.RefuseRepeat(contract.CodeOverCapacity, g.options.ReturnAfter, "the process has too many requests"))
 	}
 	if admitted.refusal != nil {
 		return admitted.refusal
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -7,7 +7,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
-	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -36,17 +35,9 @@
 // streamPlain has a stream made by an upstream that runs no model: there is no
 // memory to reserve and no prompt to read.
 func (g *Gateway) streamPlain(h *table.Held, r *request) []pool.Effect {
-	now := g.clock.Now()
-	choices := g.choose(h, now, r, upstream.RoleService, nil)
-	if len(choices) == 0 {
-		return g.finish(h, r, contract.RefuseRepeat(contract.CodeNoUpstream, minReturn, "no upstream takes the request"))
+	if _, refusal := g.takePlain(h, r); refusal != nil {
+		return g.finish(h, r, refusal)
 	}
-	choice := choices[0]
-	g.board.With(h, func(b **roster.Board) {
-		(*b).Took(choice, 0)
-		(*b).Probe(now, choice)
-	})
-	r.place, r.placedAt = &choice, now
 	return g.stream(h, r, runner.Handle{})
 }
 
@@ -128,29 +119,23 @@
 		}
 		return append(effects, g.finish(h, r, refusal)...)
 	}
+	r.failed(choice.ID)
 	switch {
 	case result.Reach == runner.Broken:
 		effects = append(effects, g.checkCrash(r, choice)...)
-		r.failed(choice.ID)
 		if r.events == 0 {
 			r.spare = source
 		}
 	case result.Reach == runner.NotSent || result.Misdirected:
-		r.failed(choice.ID)
 		r.spare = source
-	case result.Reach == runner.Rejected && reused:
-		// The engine that broke off had fetched it after all.
-		r.failed(choice.ID)
-	case result.Reach == runner.Rejected && source.ID != "":
-		// Its memory was reserved: it misses the KV cache, or takes no work.
+	case result.Reach == runner.Rejected && source.ID != "" && !reused:
+		// Its memory was reserved: it misses the KV cache, or takes no work. A cache
+		// that is used again may have been fetched by the engine that broke off.
 		g.board.With(h, func(b **roster.Board) {
 			(*b).KeptBadly(now, *r.reader)
 			(*b).Dishonored(now, choice)
 		})
 		r.failed(r.reader.ID)
-		r.failed(choice.ID)
-	default:
-		r.failed(choice.ID)
 	}
 	if g.mayGoOn(h, r, result) {
 		g.noteTrouble(r, eventRetried, "attempts", r.attempts, "after_event", r.last,
