--- a/contract/directory/directory.go
+++ b/contract/directory/directory.go
@@ -111,6 +111,8 @@
 	KVTokens contract.Tokens
 	// Slots bounds the concurrent requests on one engine.
 	Slots int
+	// EventTokens is the number of output tokens in one event of a stream, at least 1.
+	EventTokens int
 	// HandleTTL is how long a prefill engine keeps the KV cache of a prompt for the
 	// decode engine to fetch.
 	HandleTTL time.Duration
@@ -208,6 +210,12 @@
 	return s.Accounts[id]
 }
 
+// RunsEngines reports whether a service is known and runs model engines.
+func (s *Snapshot) RunsEngines(name ServiceName) bool {
+	service, ok := s.Services[name]
+	return ok && service.Engine != nil
+}
+
 // Keyed reports whether any client account is configured. Without one, no route
 // needs a key.
 func (s *Snapshot) Keyed() bool {
--- a/instance/gateway/admission.go
+++ b/instance/gateway/admission.go
@@ -69,6 +69,7 @@
 	case g.engine(h, r.service) == nil:
 		return g.streamWithoutModel(h, r)
 	default:
+		g.recordDemand(h, r)
 		return g.reserveOrWait(h, r)
 	}
 }
--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -45,6 +45,8 @@
 	// reason in "why".
 	eventLeaseLost   logMessage = "duty_lost"
 	eventRoleOrdered logMessage = "role_ordered"
+	// eventRolesPlanned: engines should change their role, for the reasons listed.
+	eventRolesPlanned logMessage = "roles_planned"
 	// eventEntered and eventEnterFailed: adding this process to the registry's list of
 	// gateways succeeded or failed.
 	eventEntered     logMessage = "entered"
@@ -53,6 +55,11 @@
 	// the configuration or the list is read whole.
 	eventHistoryGone logMessage = "registry_history_gone"
 	eventCrashed     logMessage = "upstream_crashed"
+	// eventDemandNotStored: the demand could not be stored; it is tried again later.
+	eventDemandNotStored logMessage = "demand_not_stored"
+	// eventDemandInvalid: a peer or the registry stated a demand that no process can
+	// have counted.
+	eventDemandInvalid logMessage = "demand_invalid"
 )
 
 // logRefused counts and logs a request that was refused at admission, before it had a
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
@@ -109,6 +110,7 @@
 	waitLists  *table.Single[map[directory.ServiceName]*waitList]
 	requests   *table.Striped[rowID, *request]
 	board      *table.Single[*roster.Board]
+	demand     *table.Single[*demand.Ledger]
 	suspects   *table.Single[*quarantine.Table]
 	roleOrders *table.Single[*roleOrders]
 	// retryBudgets has one budget for each service.
@@ -155,6 +157,7 @@
 		waitLists:    table.NewSingle(table.RankQueue, make(map[directory.ServiceName]*waitList)),
 		requests:     table.NewStriped[rowID, *request](table.RankRequests, table.DefaultStripes),
 		board:        table.NewSingle(table.RankBoard, roster.NewBoard(o.Self.Place)),
+		demand:       table.NewSingle(table.RankDemand, demand.NewLedger()),
 		suspects:     table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
 		roleOrders:   table.NewSingle(table.RankOrders, &roleOrders{}),
 		retryBudgets: table.NewSingle(table.RankStats, make(map[directory.ServiceName]*retry.Budget)),
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -6,12 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
@@ -154,16 +156,24 @@
 	return out[:min(len(out), MaxExchanges)]
 }
 
-// enterRegistry adds this process to the registry's list of gateways and reads the list.
+// enterRegistry adds this process to the registry's list of gateways and reads the list
+// and the stored demand.
 func (g *Gateway) enterRegistry(*table.HeldLocks) []pool.Effect {
 	self := registry.Entry{Name: string(g.options.Self.Name), Addr: g.options.Addr}
-	return registryCall(2*ReadTimeout, func(ctx context.Context) pool.Step {
+	return registryCall(3*ReadTimeout, func(ctx context.Context) pool.Step {
 		err := g.registry.Register(ctx, self)
 		var entries []registry.Entry
 		if err == nil {
 			entries, err = g.registry.Entries(ctx)
 		}
-		return func(h *table.HeldLocks) []pool.Effect { return g.afterEnter(h, entries, err) }
+		var tallies map[directory.ServiceName]demand.Tally
+		if err == nil {
+			tallies, err = g.registry.LoadDemand(ctx)
+		}
+		return func(h *table.HeldLocks) []pool.Effect {
+			g.restoreDemand(h, tallies)
+			return g.afterEnter(h, entries, err)
+		}
 	})
 }
 
@@ -225,6 +235,11 @@
 		g.log.Warn(string(eventPeerLost), "peer", p.Name, "address", p.Addr)
 	}
 	if len(gone) > 0 {
+		g.demand.With(h, func(l **demand.Ledger) {
+			for _, name := range gone {
+				(*l).Forget(name)
+			}
+		})
 		g.quotas.With(h, func(q **quota.Meter) {
 			for _, name := range gone {
 				(*q).Forget(name)
@@ -255,12 +270,9 @@
 		m.Known = m.Known[:min(len(m.Known), MaxListedPeers)]
 	})
 	g.quotas.With(h, func(q **quota.Meter) { m.Usage = (*q).StatementFor(now, to) })
+	g.demand.With(h, func(l **demand.Ledger) { m.Demand = (*l).Own(now) })
 	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
-	g.board.With(h, func(b **roster.Board) {
-		for id, left := range (*b).RoleChanges(now) {
-			m.Turns = append(m.Turns, relay.Turn{ID: id, For: left})
-		}
-	})
+	g.board.With(h, func(b **roster.Board) { m.RoleOrders = (*b).RoleOrders(now) })
 	return m
 }
 
@@ -316,7 +328,8 @@
 		g.log.Info(string(eventPeerBack), "peer", m.From.Name)
 	}
 	g.quotas.With(h, func(q **quota.Meter) { (*q).ApplyStatement(now, m.From.Name, m.Usage) })
-	g.markRoleChanges(h, m.Turns)
+	g.applyDemand(h, m)
+	g.recordRoleOrders(h, m.RoleOrders)
 	if len(m.Suspects) > 0 {
 		g.suspects.With(h, func(t **quarantine.Table) { (*t).MergeNotes(now, m.Suspects) })
 	}
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
@@ -66,13 +67,17 @@
 	now := g.clock.Now()
 	prompt := r.message.Prompt
 	ended := r.ctx.Err() != nil
+	if result.Reach == runner.Answered {
+		g.demand.With(h, func(l **demand.Ledger) { (*l).RecordPrefill(now, r.service, prompt, now.Sub(r.prefillAt)) })
+	}
+	rate := g.estimateDemand(h, r.service).PrefillRate
 	g.board.With(h, func(b **roster.Board) {
 		(*b).RemoveCall(choice, prompt)
 		switch {
 		case result.Reach == runner.Answered:
 			took := now.Sub(r.prefillAt) * prefillReferenceTokens / time.Duration(max(prompt, prefillReferenceTokens))
 			(*b).RecordSuccess(now, choice, took, result.Load)
-			(*b).RecordPrefill(prompt, now.Sub(r.prefillAt))
+			(*b).RecordPrefill(prompt, now.Sub(r.prefillAt), rate)
 		case !ended:
 			(*b).RecordResult(now, choice, result)
 		}
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -36,7 +37,7 @@
 // startBackground starts the registry reads, the exchanges with peers and the role
 // checks.
 func (g *Gateway) startBackground() {
-	for _, step := range []pool.Step{g.readConfig, g.readUpstreams, g.enterRegistry, g.runPeriodicWork, g.checkRoles} {
+	for _, step := range []pool.Step{g.readConfig, g.readUpstreams, g.enterRegistry, g.runPeriodicWork, g.checkRoles, g.saveDemand} {
 		g.pool.Enqueue(step)
 	}
 }
@@ -111,6 +112,7 @@
 		return
 	}
 	g.metrics.setConfigVersion(snapshot.Version)
+	g.demand.With(h, func(l **demand.Ledger) { (*l).Retain(snapshot.RunsEngines) })
 	g.log.Info(string(eventConfig), "version", snapshot.Version, "from", from, "hosts", len(snapshot.Hosts),
 		"accounts", len(snapshot.Accounts), "services", len(snapshot.Services))
 	g.becomeReady(h)
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -73,6 +73,8 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	events       int
+	// startLoad is the load of the engine when the stream began.
+	startLoad runner.Load
 	// longestGap is the longest time between two events.
 	longestGap time.Duration
 	placedAt   time.Time
@@ -101,11 +103,15 @@
 // expectedTokens is the KV cache memory that the request is expected to need: the
 // prompt and the expected output, at most the maximum output.
 func (r *request) expectedTokens() contract.Tokens {
-	output := r.message.MaxOutput
+	return r.message.Prompt + r.expectedOutput()
+}
+
+// expectedOutput is the caller's estimate of the output, at most the maximum output.
+func (r *request) expectedOutput() contract.Tokens {
 	if r.message.ExpectedOutput > 0 {
-		output = min(output, r.message.ExpectedOutput)
+		return min(r.message.MaxOutput, r.message.ExpectedOutput)
 	}
-	return r.message.Prompt + output
+	return r.message.MaxOutput
 }
 
 // options returns what is sent to an upstream in addition to the message. A resumed
--- a/instance/gateway/reserve.go
+++ b/instance/gateway/reserve.go
@@ -40,7 +40,10 @@
 	now := g.clock.Now()
 	processes := g.countGateways(h, now)
 	allowed := false
-	g.board.With(h, func(b **roster.Board) { allowed = (*b).MayPrefill(r.service, r.message.Prompt, processes) })
+	estimate := g.estimateDemand(h, r.service)
+	g.board.With(h, func(b **roster.Board) {
+		allowed = (*b).MayPrefill(r.service, r.message.Prompt, estimate.PrefillRate, processes)
+	})
 	if !allowed {
 		return append(g.endPlacement(h, r, false), g.enqueue(h, r, waitBacklog)...)
 	}
@@ -57,11 +60,12 @@
 		ttl = min(ttl, engine.MaxReservation)
 	}
 	expectedTokens := r.expectedTokens()
+	reserved := r.message.Prompt + estimate.Reserve(r.expectedOutput(), r.message.MaxOutput)
 	return g.requestEffect(r, func() pool.Step {
 		var tried []reserveAttempt
 		for _, c := range choices {
 			ctx, cancel := context.WithTimeout(r.ctx, ReserveTimeout)
-			id, result := g.runners.Reserve(ctx, c.Target, expectedTokens, ttl)
+			id, result := g.runners.Reserve(ctx, c.Target, reserved, ttl)
 			cancel()
 			tried = append(tried, reserveAttempt{c, result})
 			if result.Reach == runner.Answered {
--- a/instance/gateway/roles.go
+++ b/instance/gateway/roles.go
@@ -9,7 +9,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
-	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 	"github.com/trefoilwalk/trefoilwalk/upstream/split"
@@ -54,7 +53,9 @@
 		return nil
 	}
 	now := g.clock.Now()
-	changes := g.planRoles(h)
+	pending := false
+	g.roleOrders.With(h, func(d **roleOrders) { pending = !(*d).neededSince.IsZero() })
+	changes := g.planRoles(h, pending)
 	rank := g.nameRank(h, now)
 	start := false
 	g.roleOrders.With(h, func(d **roleOrders) {
@@ -86,20 +87,32 @@
 	return out
 }
 
-// planRoles returns the role changes that the engines of all services need.
-func (g *Gateway) planRoles(h *table.HeldLocks) []split.Change {
+// planRoles returns the role changes that the engines of all services need. pending is set
+// while changes wait to be ordered.
+func (g *Gateway) planRoles(h *table.HeldLocks, pending bool) []split.Change {
 	snapshot := g.snapshot(h)
 	if snapshot == nil {
 		return nil
 	}
+	now := g.clock.Now()
 	var changes []split.Change
 	for name, service := range snapshot.Services {
 		if service.Engine == nil {
 			continue
 		}
 		var engines []split.Engine
-		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(name) })
-		changes = append(changes, split.Plan(engines, split.DefaultDemand, service.Engine.KVTokens)...)
+		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(now, name) })
+		model := split.Model{
+			Demand:  g.estimateDemand(h, name),
+			Memory:  service.Engine.KVTokens,
+			Slots:   service.Engine.Slots,
+			Switch:  service.Engine.RoleSwitch,
+			Pending: pending,
+		}
+		if planned := split.Plan(engines, model); len(planned) > 0 {
+			g.log.Info(string(eventRolesPlanned), append([]any{"service", name, "changes", len(planned)}, model.Inputs(engines)...)...)
+			changes = append(changes, planned...)
+		}
 	}
 	return changes
 }
@@ -143,7 +156,7 @@
 func (g *Gateway) endRoleOrders(h *table.HeldLocks, why string, err error) []pool.Effect {
 	g.roleOrders.With(h, func(d **roleOrders) {
 		(*d).inProgress = false
-		(*d).neededSince = g.clock.Now()
+		(*d).neededSince = time.Time{}
 	})
 	if err != nil && !errors.Is(err, registry.ErrConflict) {
 		g.log.Warn(string(eventLeaseLost), "duty", rolesLease, "why", why, "error", err)
@@ -166,18 +179,22 @@
 			(*d).lastOrdered[string(c.ID)] = now
 		}
 	})
-	roleChanges := make([]relay.Turn, 0, len(changes))
-	for _, c := range changes {
-		roleChanges = append(roleChanges, relay.Turn{ID: c.ID, For: g.roleChangeTime(h)})
-	}
-	g.markRoleChanges(h, roleChanges)
 	until := requestedAt.Add(g.options.LeaseTerm / 2)
 	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
 		for _, c := range changes {
 			if !g.clock.Now().Before(until) {
 				return func(h *table.HeldLocks) []pool.Effect { return g.endRoleOrders(h, "lease ran out", nil) }
 			}
-			if stale := g.sendOrder(ctx, c, fencing); stale {
+			result, mayTakeEffect := g.sendOrder(ctx, c, fencing)
+			if mayTakeEffect {
+				// Recorded at once, because the next order may take as long as its timeout.
+				g.pool.Enqueue(func(h *table.HeldLocks) []pool.Effect {
+					order := roster.RoleOrder{ID: c.ID, To: c.To, Busy: g.roleChangeTime(h), Pending: MinOrderInterval}
+					g.recordRoleOrders(h, []roster.RoleOrder{order})
+					return nil
+				})
+			}
+			if result.Stale {
 				break
 			}
 		}
@@ -199,34 +216,37 @@
 	return longest
 }
 
-// markRoleChanges makes the board send no work to engines while they change their role.
-func (g *Gateway) markRoleChanges(h *table.HeldLocks, roleChanges []relay.Turn) {
+// recordRoleOrders records orders of this process or of a peer on the board.
+func (g *Gateway) recordRoleOrders(h *table.HeldLocks, orders []roster.RoleOrder) {
 	now := g.clock.Now()
 	g.board.With(h, func(b **roster.Board) {
-		for _, t := range roleChanges {
-			(*b).SetRoleChanging(t.ID, now.Add(t.For))
+		for _, o := range orders {
+			(*b).RecordRoleOrder(now, o)
 		}
 	})
 }
 
-// sendOrder sends one order and reports whether the engine has seen a higher fencing
-// number. The order names the engine's own count of orders, so that an order executed
-// late does not undo a newer one.
-func (g *Gateway) sendOrder(ctx context.Context, c split.Change, fencing uint64) (stale bool) {
+// sendOrder sends one order and reports whether it may take effect, or has already. The
+// order names the engine's own count of orders, so that an order executed late does not
+// undo a newer one. The result is stale if the engine has seen a higher fencing number.
+func (g *Gateway) sendOrder(ctx context.Context, c split.Change, fencing uint64) (result runner.Result, mayTakeEffect bool) {
 	ctx, cancel := context.WithTimeout(ctx, OrderTimeout)
 	defer cancel()
 	to := runner.Target{ID: c.ID, Addr: c.Addr}
 	report, result := g.runners.Report(ctx, to)
 	switch {
 	case result.Reach != runner.Answered:
-	case report.Busy || report.Role == c.To:
-		return false
+	case report.Role == c.To:
+		mayTakeEffect = true
+	case report.Busy:
 	default:
 		result = g.runners.SetRole(ctx, to, runner.RoleOrder{
 			Role: c.To, Holder: string(g.options.Self.Name), Fencing: fencing, Orders: report.Orders,
 		})
+		mayTakeEffect = result.Reach == runner.Answered || result.Reach == runner.Broken
 	}
 	g.log.Info(string(eventRoleOrdered), "upstream", c.ID, "from", c.Role.String(), "to", c.To.String(), "fencing", fencing,
-		"orders", report.Orders, "reach", result.Reach.String(), "status", result.Status, "error", result.Err)
-	return result.Stale
+		"reported_role", report.Role.String(), "reported_busy", report.Busy, "orders", report.Orders,
+		"reach", result.Reach.String(), "status", result.Status, "error", result.Err)
+	return result, mayTakeEffect
 }
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -66,11 +66,12 @@
 
 // Begin implements runner.StreamReceiver. A resumed stream keeps the status and
 // headers of its first attempt.
-func (d *streamWriter) Begin(status int, header map[string][]string) error {
+func (d *streamWriter) Begin(status int, header map[string][]string, load runner.Load) error {
 	if d.r.headSent {
 		return nil
 	}
 	d.r.headSent = true
+	d.r.startLoad = load
 	return d.r.sink.Begin(status, header)
 }
 
@@ -87,6 +88,9 @@
 		return err
 	}
 	d.r.events++
+	if d.r.events == paceEvents+1 && d.r.attempts == 1 {
+		d.g.recordPace(d.r, now.Sub(d.r.firstEventAt))
+	}
 	if e.ID != "" {
 		d.r.lastEventID = e.ID
 	}
@@ -104,6 +108,7 @@
 	switch result.Reach {
 	case runner.Answered:
 		r.ran = contract.RanYes
+		g.recordOutput(h, r)
 		return append(effects, g.finishAnswered(h, r, answer, result)...)
 	case runner.Broken:
 		r.ran = contract.RanUnknown
--- a/instance/table/rank.go
+++ b/instance/table/rank.go
@@ -27,6 +27,8 @@
 	RankClaims
 	// RankBoard guards the state of upstreams as an entry or a gateway sees it.
 	RankBoard
+	// RankDemand guards what is known of the cost of requests to engines.
+	RankDemand
 	// RankQuarantine guards fingerprints of requests that crash upstreams.
 	RankQuarantine
 	// RankLedger guards the leases that a sidecar has granted on its upstream.
@@ -51,6 +53,7 @@
 	RankRequests:   "requests",
 	RankClaims:     "claims",
 	RankBoard:      "board",
+	RankDemand:     "demand",
 	RankQuarantine: "quarantine",
 	RankLedger:     "ledger",
 	RankCalls:      "calls",
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -10,6 +10,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -101,4 +102,9 @@
 	Register(ctx context.Context, self Entry) error
 	// Entries returns all processes that called Register.
 	Entries(ctx context.Context) ([]Entry, error)
+	// SaveDemand stores the demand for services, for processes that start when no
+	// other one runs.
+	SaveDemand(ctx context.Context, tallies map[directory.ServiceName]demand.Tally) error
+	// LoadDemand returns the demand that was stored last.
+	LoadDemand(ctx context.Context) (map[directory.ServiceName]demand.Tally, error)
 }
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -6,14 +6,14 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
-	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
+	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
 // Peer is one gateway and the address of its peer listener.
@@ -23,14 +23,6 @@
 	Addr        string
 }
 
-// Turn is a role change: an engine that was ordered to change its role and takes no
-// work for a time.
-type Turn struct {
-	ID upstream.ID
-	// For is the time left for which the engine takes no work.
-	For time.Duration
-}
-
 // Message carries the state that one gateway sends to another.
 type Message struct {
 	From Peer
@@ -45,8 +37,10 @@
 	// Suspects holds the sender's records of requests that crash upstreams, both
 	// suspects and quarantined ones.
 	Suspects []quarantine.Note
-	// Turns lists the engines that are changing their role.
-	Turns []Turn
+	// Demand is what the sender itself saw of the requests to each service's engines.
+	Demand map[directory.ServiceName]demand.Tally
+	// RoleOrders lists the orders that engines are carrying out or may still carry out.
+	RoleOrders []roster.RoleOrder
 	// Known lists some of the gateways that the sender considers alive.
 	Known []Peer
 	// Away means that the sender cannot read the registry and asks for the list
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -101,8 +101,9 @@
 // StreamReceiver receives a stream as it arrives. An error from a method ends the
 // call.
 type StreamReceiver interface {
-	// Begin is called once, with the status and header of the answer.
-	Begin(status int, header map[string][]string) error
+	// Begin is called once, with the status and header of the answer and the load
+	// that the upstream reported with it.
+	Begin(status int, header map[string][]string, load Load) error
 	// Event is called with each complete event, in order.
 	Event(e Event) error
 }
--- /dev/null
+++ b/upstream/demand/estimate.go
@@ -0,0 +1,112 @@
+package demand
+
+import (
+	"math"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// Estimate is what a typical request costs. Its fields are zero as long as too little was
+// seen.
+type Estimate struct {
+	// Prompt and Output are the mean sizes; a decode engine holds both in memory.
+	Prompt, Output contract.Tokens
+	// PrefillRate is the prefill rate of one engine, in prompt tokens per second.
+	PrefillRate float64
+	// tokenBase and tokenLoad are the seconds per token of a decode engine: a part that
+	// does not depend on its load, and one for each request that runs there.
+	tokenBase, tokenLoad float64
+	// Error is the relative standard error of the mean size of a request.
+	Error float64
+	// reserveRatio times the expected output is reserved for a request; expected is the
+	// mean expected output.
+	reserveRatio, expected float64
+}
+
+// Numbers of observations below which nothing is estimated.
+const (
+	minRequests = 8
+	minPaces    = 4
+)
+
+// hintWeight is the number of ended streams from which the ratio of real to expected
+// outputs counts half. The streams that end first are the short ones.
+const hintWeight = 20
+
+// loadSpread is added to the variance of the observed loads, in requests squared, so that
+// a few observations at nearly equal loads give no steep slope.
+const loadSpread = 2
+
+// estimate returns the estimate that follows from the observations.
+func (t *Tally) estimate() Estimate {
+	e := Estimate{PrefillRate: t.PrefillRate.Value, reserveRatio: t.reserveRatio()}
+	if t.Requests >= minRequests {
+		e.Prompt = contract.Tokens(t.Prompt / t.Requests)
+		e.expected = t.Output / t.Requests
+		e.Output = contract.Tokens(e.expected * t.outputRatio())
+	}
+	if t.Requests >= minRequests && t.Prompt+t.Output > 0 {
+		mean := (t.Prompt + t.Output) / t.Requests
+		variance := max(0, t.SizeSquared/t.Requests-mean*mean)
+		e.Error = math.Sqrt(variance/t.Requests) / mean
+	}
+	if t.Paces >= minPaces {
+		load, pace := t.Load/t.Paces, t.Pace/t.Paces
+		variance := max(0, t.LoadSquared/t.Paces-load*load)
+		slope := (t.LoadPace/t.Paces - load*pace) / (variance + loadSpread)
+		// Neither part can be negative.
+		if load > 0 {
+			slope = min(max(0, slope), pace/load)
+		} else {
+			slope = 0
+		}
+		e.tokenBase, e.tokenLoad = pace-slope*load, slope
+	}
+	return e
+}
+
+// outputRatio is the ratio of real to expected outputs.
+func (t *Tally) outputRatio() float64 {
+	if t.ExpectedOfEnded <= 0 {
+		return 1
+	}
+	weight := t.Ended / (t.Ended + hintWeight)
+	return 1 + weight*(t.TakenByEnded/t.ExpectedOfEnded-1)
+}
+
+// reserveRatio is the ratio to the expected output for which memory is reserved, at least 1.
+func (t *Tally) reserveRatio() float64 {
+	q := t.OutputRatio
+	return max(1, 1+q.Count/(q.Count+hintWeight)*(q.Value-1))
+}
+
+// Reserve returns the output, in tokens, for which to reserve memory for a request.
+func (e Estimate) Reserve(expected, most contract.Tokens) contract.Tokens {
+	return min(most, contract.Tokens(float64(expected)*e.reserveRatio))
+}
+
+// Reserved is the memory that is reserved for the mean request.
+func (e Estimate) Reserved() contract.Tokens {
+	return e.Prompt + contract.Tokens(e.expected*e.reserveRatio)
+}
+
+// Known reports whether enough was seen to plan with the estimate.
+func (e Estimate) Known() bool {
+	return e.Prompt > 0 && e.Output > 0 && e.PrefillRate > 0 && e.tokenBase+e.tokenLoad > 0
+}
+
+// PrefillTime is the time for which the mean prompt occupies a prefill engine.
+func (e Estimate) PrefillTime() time.Duration {
+	return seconds(float64(e.Prompt) / e.PrefillRate)
+}
+
+// DecodeTime is the time for which the mean request runs on a decode engine beside others,
+// running in total.
+func (e Estimate) DecodeTime(running float64) time.Duration {
+	return seconds(float64(e.Output) * (e.tokenBase + e.tokenLoad*running))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -220,24 +220,38 @@
 	}
 }
 
-// SetRoleChanging keeps work from an engine that changes its role until the given time. An
-// earlier time than the known one is ignored.
-func (b *Board) SetRoleChanging(id upstream.ID, until time.Time) {
-	if u, ok := b.upstreams[id]; ok && until.After(u.roleChangeUntil) {
+// RoleOrder is an order to an engine to change its role.
+type RoleOrder struct {
+	ID upstream.ID
+	To upstream.Role
+	// Busy is the time left for which the engine takes no work, Pending that in which
+	// the order may still take effect.
+	Busy, Pending time.Duration
+}
+
+// RecordRoleOrder records an order to an engine: the engine gets no work for a time, and
+// counts as an engine of its new role. Times earlier than the known ones are ignored.
+func (b *Board) RecordRoleOrder(now time.Time, o RoleOrder) {
+	u, ok := b.upstreams[o.ID]
+	if !ok {
+		return
+	}
+	if until := now.Add(o.Busy); until.After(u.roleChangeUntil) {
 		u.roleChangeUntil = until
 	}
+	if until := now.Add(o.Pending); until.After(u.orderedUntil) {
+		u.orderedRole, u.orderedUntil = o.To, until
+	}
 }
 
-// RoleChanges returns the remaining time for each engine that is changing its role, nil
-// if none is.
-func (b *Board) RoleChanges(now time.Time) map[upstream.ID]time.Duration {
-	var out map[upstream.ID]time.Duration
+// RoleOrders returns the orders that engines are carrying out or may still carry out, nil
+// if there are none.
+func (b *Board) RoleOrders(now time.Time) []RoleOrder {
+	var out []RoleOrder
 	for id, u := range b.upstreams {
-		if left := u.roleChangeUntil.Sub(now); left > 0 {
-			if out == nil {
-				out = make(map[upstream.ID]time.Duration)
-			}
-			out[id] = left
+		busy, pending := u.roleChangeUntil.Sub(now), u.orderedUntil.Sub(now)
+		if busy > 0 || pending > 0 {
+			out = append(out, RoleOrder{ID: id, To: u.orderedRole, Busy: max(0, busy), Pending: max(0, pending)})
 		}
 	}
 	return out
@@ -300,14 +314,6 @@
 // then grants the same memory twice.
 const PrefillBacklog = 800 * time.Millisecond
 
-// prefillRateDecay is applied to the fastest rate with each prefill, so that a slowdown
-// of the engines is detected within a few hundred prompts.
-const prefillRateDecay = 0.995
-
-// minMeasuredPrompt is the shortest prompt, in tokens, used to measure the prefill rate:
-// the time of a shorter one is mostly overhead.
-const minMeasuredPrompt = 500
-
 // The backlog share is adapted by additive increase and multiplicative decrease: each
 // prompt that waited longer than PrefillBacklog shrinks it, each other one grows it. The
 // wait thus falls even if engines slow down or more processes send than are known.
@@ -317,14 +323,13 @@
 	minBacklogShare       = 0.1
 )
 
-// RecordPrefill updates the prefill rate and the backlog share from the time that one
-// prefill took, including its wait in the queue.
-func (b *Board) RecordPrefill(prompt contract.Tokens, took time.Duration) {
-	if prompt < minMeasuredPrompt || took <= 0 {
+// RecordPrefill updates the backlog share from the time that one prefill took, including
+// its wait in the queue. rate is the prefill rate of one engine, in tokens per second.
+func (b *Board) RecordPrefill(prompt contract.Tokens, took time.Duration, rate float64) {
+	if rate <= 0 {
 		return
 	}
-	b.prefillRate = max(float64(prompt)/took.Seconds(), b.prefillRate*prefillRateDecay)
-	prefillTime := time.Duration(float64(prompt) / b.prefillRate * float64(time.Second))
+	prefillTime := time.Duration(float64(prompt) / rate * float64(time.Second))
 	if took-prefillTime > PrefillBacklog {
 		b.backlogShare = max(minBacklogShare, b.backlogShare*backlogDecreaseFactor)
 	} else {
@@ -334,18 +339,23 @@
 
 // MayPrefill reports whether this process may send another prompt to the prefill engines of
 // a service. The allowed backlog is split evenly between the processes; a process with no
-// prompt running there may always send one.
-func (b *Board) MayPrefill(service directory.ServiceName, prompt contract.Tokens, processes int) bool {
-	engines, sent := 0, contract.Tokens(0)
+// prompt running there may always send one. rate is the prefill rate of one engine in
+// tokens per second; as long as it is not known, 0, each engine gets one prompt at a time.
+func (b *Board) MayPrefill(service directory.ServiceName, prompt contract.Tokens, rate float64, processes int) bool {
+	engines, calls, sent := 0, 0, contract.Tokens(0)
 	for _, u := range b.upstreams {
 		if u.Service == service && u.Role == upstream.RolePrefill {
 			engines++
+			calls += u.calls
 			sent += u.tokens
 		}
 	}
 	if sent == 0 {
 		return true
 	}
-	allowed := PrefillBacklog.Seconds() * b.backlogShare * b.prefillRate * float64(engines)
+	if rate <= 0 {
+		return calls < engines
+	}
+	allowed := PrefillBacklog.Seconds() * b.backlogShare * rate * float64(engines)
 	return float64(sent+prompt) <= allowed/float64(max(1, processes))
 }
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -64,6 +64,10 @@
 	fullUntil, downUntil, evictionPenaltyUntil time.Time
 	// roleChangeUntil is when a change of its role is expected to end.
 	roleChangeUntil time.Time
+	// orderedRole is the role that it was ordered to take, if the order may still take
+	// effect, which it does before orderedUntil.
+	orderedRole  upstream.Role
+	orderedUntil time.Time
 	// brokenReservations counts the consecutive reservations that it did not honor.
 	brokenReservations int
 	load               runner.Load
@@ -86,8 +90,6 @@
 	// last outage ended.
 	registryDown   bool
 	registryBackAt time.Time
-	// prefillRate is the fastest recent prefill, in prompt tokens per second.
-	prefillRate float64
 	// backlogShare is the share of PrefillBacklog that this process uses, from
 	// minBacklogShare to 1.
 	backlogShare float64
@@ -97,11 +99,9 @@
 
 func NewBoard(place zone.Place) *Board {
 	return &Board{
-		place:       place,
-		upstreams:   make(map[upstream.ID]*Upstream),
-		groups:      make(map[groupKey]*health.Group),
-		prefillRate: split.DefaultDemand.PrefillRate(),
-
+		place:        place,
+		upstreams:    make(map[upstream.ID]*Upstream),
+		groups:       make(map[groupKey]*health.Group),
 		backlogShare: 1,
 	}
 }
@@ -180,6 +180,7 @@
 			if u.Born == record.Born {
 				replacement.calls, replacement.tokens = u.calls, u.tokens
 				replacement.roleChangeUntil = u.roleChangeUntil
+				replacement.orderedRole, replacement.orderedUntil = u.orderedRole, u.orderedUntil
 			}
 		}
 		b.upstreams[record.ID] = replacement
@@ -255,14 +256,19 @@
 	return list
 }
 
-// Engines returns the engines of a service that are neither draining nor lapsed.
-func (b *Board) Engines(service directory.ServiceName) []split.Engine {
+// Engines returns the engines of a service that are neither draining nor lapsed. An engine
+// that was ordered to change its role counts in its new one.
+func (b *Board) Engines(now time.Time, service directory.ServiceName) []split.Engine {
 	var out []split.Engine
 	for _, u := range b.upstreams {
 		if u.Service != service || u.Role == upstream.RoleService || u.Draining || !u.lapsedAt.IsZero() {
 			continue
 		}
-		out = append(out, split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role})
+		e := split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role}
+		if now.Before(u.orderedUntil) && u.orderedRole != u.Role {
+			e.Role, e.Changing = u.orderedRole, true
+		}
+		out = append(out, e)
 	}
 	return out
 }
--- a/upstream/split/split.go
+++ b/upstream/split/split.go
@@ -10,54 +10,109 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
-// Demand is the cost of a typical request.
-type Demand struct {
-	// Prompt and Output are its size; a decode engine holds both in memory.
-	Prompt, Output contract.Tokens
-	// Prefill is the time for which it occupies a prefill engine exclusively, Decode
-	// the time for which it shares a decode engine with other requests.
-	Prefill, Decode time.Duration
+// Model is what the number of engines in each role follows from.
+type Model struct {
+	Demand demand.Estimate
+	// Memory is the KV cache capacity of one engine, in tokens; Slots bounds the
+	// requests that run there, 0 for no bound.
+	Memory contract.Tokens
+	Slots  int
+	// Switch is how long an engine is out of service while it changes its role.
+	Switch time.Duration
+	// Pending is set while a change is about to be ordered: a smaller gain is enough to
+	// go on with it, so that the noise of the estimate does not delay it again and again.
+	Pending bool
 }
 
-// DefaultDemand has a prompt of 3,200 tokens and an output of 900. For the times, see
-// docs/MEASUREMENTS.md.
-var DefaultDemand = Demand{Prompt: 3200, Output: 900, Prefill: 110 * time.Millisecond, Decode: 3500 * time.Millisecond}
-
-// PrefillRate is the prefill rate of one engine, in prompt tokens per second.
-func (d Demand) PrefillRate() float64 {
-	return float64(d.Prompt) / d.Prefill.Seconds()
+// holdTime is the time for which a request holds memory of a decode engine that is full:
+// while its prompt is prefilled and while it runs.
+func (m Model) holdTime() time.Duration {
+	return m.Demand.PrefillTime() + m.Demand.DecodeTime(m.held())
 }
 
-// prefillHeadroom is the factor by which prefill capacity exceeds decode capacity: a
-// prefill engine serves one prompt at a time, and waiting prompts hold reservations.
-const prefillHeadroom = 1.25
+// held is the number of mean requests that fill the memory of a decode engine.
+func (m Model) held() float64 {
+	held := max(1, float64(m.Memory)/float64(m.Demand.Reserved()))
+	if m.Slots > 0 {
+		held = min(held, float64(m.Slots))
+	}
+	return held
+}
 
-// MinGain is the least factor by which throughput must grow for engines to change their
-// role: a change takes an engine out of service for seconds.
-const MinGain = 1.1
+// prefillHeadroom is the factor by which prefill capacity should exceed decode capacity:
+// a prompt that waits for a prefill engine holds memory of a decode engine, while one that
+// waits for memory holds nothing.
+const prefillHeadroom = 1.15
 
 // throughput is the number of requests per second that the engines can serve, limited by
-// the time of the prefill engines or the memory of the decode engines. memory is the
-// capacity of one engine in tokens.
-func throughput(d Demand, memory contract.Tokens, prefill, decode int) float64 {
-	held := float64(memory) / float64(max(1, d.Prompt+d.Output))
-	return min(float64(prefill)/(d.Prefill.Seconds()*prefillHeadroom), float64(decode)*max(1, held)/d.Decode.Seconds())
+// the time of the prefill engines or the memory of the decode engines.
+func (m Model) throughput(prefill, decode int) float64 {
+	return min(float64(prefill)/(m.Demand.PrefillTime().Seconds()*prefillHeadroom), float64(decode)*m.held()/m.holdTime().Seconds())
+}
+
+// PaybackTime is the time in which the gain of a change of roles must outweigh the
+// requests that the changing engines cannot serve.
+const PaybackTime = time.Minute
+
+// modelError is the relative error of the model itself, which leaves out how requests
+// arrive and how they are distributed over the engines.
+const modelError = 0.07
+
+// worth reports whether a gain in throughput is worth the change of so many engines. The
+// gain must exceed the error of the estimate, too, so that engines do not change back and
+// forth.
+func (m Model) worth(from, to float64, changes, all int) bool {
+	margin := modelError + m.Demand.Error
+	if m.Pending {
+		margin /= 2
+	}
+	if to <= from*(1+margin) {
+		return false
+	}
+	outOfService := m.Switch + m.holdTime()
+	lost := float64(changes) * to / float64(all) * outOfService.Seconds()
+	return (to-from)*PaybackTime.Seconds() > lost
 }
 
 // WantedPrefill returns how many of all engines should run prefills. It returns have,
-// the present number, unless another one raises the throughput by more than MinGain.
-// memory is the capacity of one engine in tokens.
-func WantedPrefill(d Demand, memory contract.Tokens, all, have int) int {
-	bestCount, bestThroughput := have, throughput(d, memory, have, all-have)*MinGain
+// the present number, unless another one is worth the change. Without an estimate it only
+// ensures that each role has an engine.
+func (m Model) WantedPrefill(all, have int) int {
+	if all < 2 {
+		return have
+	}
+	if !m.Demand.Known() {
+		return min(max(1, have), all-1)
+	}
+	best, present := have, m.throughput(have, all-have)
+	most := present
 	for prefill := 1; prefill < all; prefill++ {
-		if t := throughput(d, memory, prefill, all-prefill); t > bestThroughput {
-			bestCount, bestThroughput = prefill, t
+		t := m.throughput(prefill, all-prefill)
+		if t > most && m.worth(present, t, abs(prefill-have), all) {
+			best, most = prefill, t
 		}
 	}
-	return bestCount
+	return best
+}
+
+func abs(n int) int {
+	return max(n, -n)
+}
+
+// Inputs returns the inputs of a plan as log keys and values.
+func (m Model) Inputs(engines []Engine) []any {
+	prefill := countRole(engines, upstream.RolePrefill)
+	inputs := []any{"engines", len(engines), "prefill", prefill, "known", m.Demand.Known()}
+	if !m.Demand.Known() {
+		return inputs
+	}
+	return append(inputs, "wanted", m.WantedPrefill(len(engines), prefill),
+		"prompt", m.Demand.Prompt, "output", m.Demand.Output, "held", m.held(), "error", m.Demand.Error,
+		"prefill_ms", m.Demand.PrefillTime().Milliseconds(), "decode_ms", m.Demand.DecodeTime(m.held()).Milliseconds())
 }
 
 // Engine is an engine that accepts work, with its present role.
@@ -66,6 +121,8 @@
 	Addr string
 	Zone zone.AvailabilityZone
 	Role upstream.Role
+	// Changing is set while it changes to Role.
+	Changing bool
 }
 
 // Change is a change of an engine's role from Role to To.
@@ -74,17 +131,13 @@
 	To upstream.Role
 }
 
-// Plan returns the role changes that maximize the throughput for the demand; nil if the
-// gain is too small. memory is the capacity of one engine in tokens. Engines are taken
-// from the zone with the most engines of the same role, which keeps KV transfers between
-// zones few.
-func Plan(engines []Engine, d Demand, memory contract.Tokens) []Change {
-	if len(engines) < 2 {
-		return nil
-	}
+// Plan returns the role changes that maximize the throughput; nil if they are not worth
+// it. Engines are taken from the zone with the most engines of the same role, which keeps
+// KV transfers between zones few.
+func Plan(engines []Engine, m Model) []Change {
 	list := slices.Clone(engines)
 	slices.SortFunc(list, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
-	want := WantedPrefill(d, memory, len(list), countRole(list, upstream.RolePrefill))
+	want := m.WantedPrefill(len(list), countRole(list, upstream.RolePrefill))
 	var changes []Change
 	for {
 		have := countRole(list, upstream.RolePrefill)
@@ -96,6 +149,9 @@
 			from, to = to, from
 		}
 		index := firstInLargestZone(list, from)
+		if index < 0 {
+			return changes
+		}
 		changes = append(changes, Change{list[index], to})
 		list[index].Role = to
 	}
@@ -112,17 +168,18 @@
 }
 
 // firstInLargestZone returns the index of the first engine of a role in the zone with the
-// most engines of that role, or -1 if no engine has the role.
+// most engines of that role, or -1 if no engine has the role. Engines that are changing
+// their role are left out.
 func firstInLargestZone(list []Engine, role upstream.Role) int {
 	perZone := make(map[zone.AvailabilityZone]int)
 	for _, e := range list {
-		if e.Role == role {
+		if e.Role == role && !e.Changing {
 			perZone[e.Zone]++
 		}
 	}
 	best := -1
 	for i, e := range list {
-		if e.Role == role && (best < 0 || perZone[e.Zone] > perZone[list[best].Zone]) {
+		if e.Role == role && !e.Changing && (best < 0 || perZone[e.Zone] > perZone[list[best].Zone]) {
 			best = i
 		}
 	}
