--- a/instance/gateway/demand.go
+++ b/instance/gateway/demand.go
@@ -46,13 +46,15 @@
 	})
 }
 
-// recordOutput records the output of a stream that ended normally at its first engine.
+// recordOutput records the output of a stream that ended normally at its first engine. The
+// first streams to end after a start are the short ones, so none counts before the long
+// ones that began with them have ended, too.
 func (g *Gateway) recordOutput(h *table.HeldLocks, r *request) {
+	now := g.clock.Now()
 	engine := g.engine(h, r.service)
-	if engine == nil || r.attempts != 1 || r.events == 0 {
+	if engine == nil || r.attempts != 1 || r.events == 0 || now.Sub(g.startedAt) < r.deadline.Sub(r.arrived) {
 		return
 	}
-	now := g.clock.Now()
 	taken := contract.Tokens(r.events * engine.EventTokens)
 	g.demand.With(h, func(l **demand.Ledger) { (*l).RecordOutput(now, r.service, r.expectedOutput(), taken) })
 }
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"sync"
@@ -19,14 +20,16 @@
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 )
 
 // answer is what a fake upstream does with one call.
 type answer struct {
 	result runner.Result
-	// events are delivered before the result.
+	// events are delivered before the result, with gap between two of them.
 	events int
+	gap    time.Duration
 	// hang blocks the call until its context ends.
 	hang bool
 	// takes is how long the call lasts.
@@ -186,7 +189,10 @@
 		first = last + 1
 	}
 	for id := first; id <= a.events; id++ {
-		if err := sink.Begin(200, nil); err != nil {
+		if id > first {
+			time.Sleep(a.gap)
+		}
+		if err := sink.Begin(200, nil, a.result.Load); err != nil {
 			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: err}
 		}
 		if err := sink.Event(runner.Event{ID: strconv.Itoa(id), Raw: []byte(strconv.Itoa(id) + " ")}); err != nil {
@@ -229,6 +235,7 @@
 	config  *directory.Snapshot
 	list    map[upstream.ID]registry.Record
 	entries []registry.Entry
+	demand  map[directory.ServiceName]demand.Tally
 	lease   registry.Lease
 	leaseAt time.Time
 	down    bool
@@ -348,6 +355,39 @@
 	return append([]registry.Entry(nil), f.entries...), nil
 }
 
+func (f *fakeRegistry) SaveDemand(_ context.Context, tallies map[directory.ServiceName]demand.Tally) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errRegistryDown
+	}
+	f.demand = tallies
+	return nil
+}
+
+func (f *fakeRegistry) LoadDemand(context.Context) (map[directory.ServiceName]demand.Tally, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errRegistryDown
+	}
+	return maps.Clone(f.demand), nil
+}
+
+// manyTokens is a demand with which decode engines of testConfig need most of a fleet: a
+// prompt of 3,000 tokens is prefilled in 100 ms, an output of 3,000 takes 6 s beside 20
+// others.
+func manyTokens() map[directory.ServiceName]demand.Tally {
+	l := demand.NewLedger()
+	now := time.Now()
+	for range 100 {
+		l.RecordRequest(now, "engines", 3000, 3000)
+		l.RecordPrefill(now, "engines", 3000, 100*time.Millisecond)
+		l.RecordPace(now, "engines", 20, 2*time.Millisecond)
+	}
+	return l.Own(now)
+}
+
 // fakePeers connects the gateways of one test. Gateways whose address is in cut are
 // unreachable.
 type fakePeers struct {
@@ -459,7 +499,7 @@
 			route("read", "/read/", directory.Idempotent, "desk", 2), route("once", "/once/", directory.Once, "desk", 1),
 		}},
 		Services: map[directory.ServiceName]*directory.Service{
-			"engines": {Name: "engines", Engine: &directory.Engine{KVTokens: 123_000, RoleSwitch: 6 * time.Second, MaxReservation: 2 * time.Second}},
+			"engines": {Name: "engines", Engine: &directory.Engine{KVTokens: 123_000, EventTokens: 10, RoleSwitch: 6 * time.Second, MaxReservation: 2 * time.Second}},
 			"desk":    {Name: "desk"},
 		},
 		Accounts: map[contract.AccountID]*directory.Account{"weaver": {
--- a/instance/gateway/fleet_test.go
+++ b/instance/gateway/fleet_test.go
@@ -185,6 +185,7 @@
 		f.registry.list["p3"] = record("p3", "engines", upstream.RolePrefill)
 		f.registry.list["p4"] = record("p4", "engines", upstream.RolePrefill)
 		f.registry.list["p5"] = record("p5", "engines", upstream.RolePrefill)
+		f.registry.demand = manyTokens()
 		f.runners.report.Role = upstream.RolePrefill
 		f.runners.report.Orders = 4
 		g1 := f.start(t, "g1")
@@ -234,6 +235,7 @@
 		f := testFleet()
 		f.registry.list["p3"] = record("p3", "engines", upstream.RolePrefill)
 		f.registry.list["p4"] = record("p4", "engines", upstream.RolePrefill)
+		f.registry.demand = manyTokens()
 		f.runners.report.Role = upstream.RolePrefill
 		g1 := f.start(t, "g1")
 		defer g1.Close()
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -90,8 +90,10 @@
 	registry registry.Registry
 	clock    clock.Clock
 	log      hclog.Logger
-	metrics  *Metrics
-	life     instance.LifeCycle
+	// startedAt is when the process started.
+	startedAt time.Time
+	metrics   *Metrics
+	life      instance.LifeCycle
 	// admissionClosed makes admit refuse new requests; running ones go on.
 	admissionClosed atomic.Bool
 	pool            *pool.Pool
@@ -150,6 +152,7 @@
 		registry:     o.Registry,
 		clock:        o.Clock,
 		log:          o.Log,
+		startedAt:    o.Quota.Start,
 		metrics:      o.Metrics,
 		config:       table.NewSingle(table.RankConfig, &configuration{}),
 		members:      table.NewSingle(table.RankMembers, newMembers(o)),
--- a/instance/gateway/roles.go
+++ b/instance/gateway/roles.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
@@ -100,15 +101,8 @@
 		if service.Engine == nil {
 			continue
 		}
-		var engines []split.Engine
-		g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(now, name) })
-		model := split.Model{
-			Demand:  g.estimateDemand(h, name),
-			Memory:  service.Engine.KVTokens,
-			Slots:   service.Engine.Slots,
-			Switch:  service.Engine.RoleSwitch,
-			Pending: pending,
-		}
+		engines, model := g.rolesModel(h, now, service)
+		model.Pending = pending
 		if planned := split.Plan(engines, model); len(planned) > 0 {
 			g.log.Info(string(eventRolesPlanned), append([]any{"service", name, "changes", len(planned)}, model.Inputs(engines)...)...)
 			changes = append(changes, planned...)
@@ -117,6 +111,17 @@
 	return changes
 }
 
+// rolesModel returns the engines of a service, and what the plan of their roles follows from.
+func (g *Gateway) rolesModel(h *table.HeldLocks, now time.Time, service *directory.Service) (engines []split.Engine, m split.Model) {
+	g.board.With(h, func(b **roster.Board) { engines = (*b).Engines(now, service.Name) })
+	return engines, split.Model{
+		Demand: g.estimateDemand(h, service.Name),
+		Memory: service.Engine.KVTokens,
+		Slots:  service.Engine.Slots,
+		Switch: service.Engine.RoleSwitch,
+	}
+}
+
 // nameRank is the number of live gateways with a lower name.
 func (g *Gateway) nameRank(h *table.HeldLocks, now time.Time) int {
 	rank := 0
--- a/instance/gateway/status.go
+++ b/instance/gateway/status.go
@@ -1,11 +1,16 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
+	"github.com/trefoilwalk/trefoilwalk/upstream/split"
 )
 
 // Status describes the load and view of a process at one moment.
@@ -19,10 +24,46 @@
 	// ConfigAge is the time since the configuration was last known to be the
 	// newest, or minus one second if none is known.
 	ConfigAge time.Duration
+	// Engines describes the services that run engines, in order of their names.
+	Engines []EngineStatus
 	// RegistryDown is set while the registry does not answer; the process itself runs.
 	RegistryDown bool
 }
 
+// EngineStatus describes the engines of a service and the demand for them.
+type EngineStatus struct {
+	Service directory.ServiceName
+	// Prefill and Decode count the engines by role, those that are changing it in the
+	// new one; WantedPrefill is how many should run prefills.
+	Prefill, Decode, WantedPrefill int
+	// Demand is the cost of a typical request, if Demand.Known; PrefillTime is that of
+	// its prompt, and DecodeTime that of its output at a full engine.
+	Demand                  demand.Estimate
+	PrefillTime, DecodeTime time.Duration
+}
+
+// engineStatus returns the status of all services that run engines.
+func (g *Gateway) engineStatus(h *table.HeldLocks, now time.Time) (out []EngineStatus) {
+	snapshot := g.snapshot(h)
+	if snapshot == nil {
+		return nil
+	}
+	for _, name := range slices.Sorted(maps.Keys(snapshot.Services)) {
+		if !snapshot.RunsEngines(name) {
+			continue
+		}
+		engines, model := g.rolesModel(h, now, snapshot.Services[name])
+		s := EngineStatus{Service: name, Prefill: split.CountRole(engines, upstream.RolePrefill), Demand: model.Demand}
+		s.Decode = len(engines) - s.Prefill
+		s.WantedPrefill = model.WantedPrefill(len(engines), s.Prefill)
+		if model.Demand.Known() {
+			s.PrefillTime, s.DecodeTime = model.Demand.PrefillTime(), model.FullDecodeTime()
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
 // Status reads the tables one after another, so its figures need not be of the same
 // instant.
 func (g *Gateway) Status() Status {
@@ -39,5 +80,6 @@
 		}
 	})
 	g.board.With(h, func(b **roster.Board) { s.Upstreams = (*b).Len() })
+	s.Engines = g.engineStatus(h, now)
 	return s
 }
--- a/upstream/demand/estimate.go
+++ b/upstream/demand/estimate.go
@@ -31,20 +31,28 @@
 )
 
 // hintWeight is the number of ended streams from which the ratio of real to expected
-// outputs counts half. The streams that end first are the short ones.
+// outputs counts half.
 const hintWeight = 20
 
+// rateQuantile is the share of the rates of single prefills below the rate of an engine:
+// most prefills wait behind others, and a few find their prompt cached.
+const rateQuantile = 0.9
+
+// ratioQuantile is the share of the streams whose output fits in the memory that is
+// reserved for them. One that needs more competes for memory with the others.
+const ratioQuantile = 0.8
+
 // loadSpread is added to the variance of the observed loads, in requests squared, so that
 // a few observations at nearly equal loads give no steep slope.
 const loadSpread = 2
 
 // estimate returns the estimate that follows from the observations.
 func (t *Tally) estimate() Estimate {
-	e := Estimate{PrefillRate: t.PrefillRate.Value, reserveRatio: t.reserveRatio()}
+	e := Estimate{PrefillRate: t.PrefillRates.quantile(rateQuantile), reserveRatio: t.reserveRatio()}
 	if t.Requests >= minRequests {
-		e.Prompt = contract.Tokens(t.Prompt / t.Requests)
+		e.Prompt = tokens(t.Prompt / t.Requests)
 		e.expected = t.Output / t.Requests
-		e.Output = contract.Tokens(e.expected * t.outputRatio())
+		e.Output = tokens(e.expected * t.outputRatio())
 	}
 	if t.Requests >= minRequests && t.Prompt+t.Output > 0 {
 		mean := (t.Prompt + t.Output) / t.Requests
@@ -77,18 +85,18 @@
 
 // reserveRatio is the ratio to the expected output for which memory is reserved, at least 1.
 func (t *Tally) reserveRatio() float64 {
-	q := t.OutputRatio
-	return max(1, 1+q.Count/(q.Count+hintWeight)*(q.Value-1))
+	n := t.OutputRatios.count()
+	return max(1, 1+n/(n+hintWeight)*(t.OutputRatios.quantile(ratioQuantile)-1))
 }
 
 // Reserve returns the output, in tokens, for which to reserve memory for a request.
 func (e Estimate) Reserve(expected, most contract.Tokens) contract.Tokens {
-	return min(most, contract.Tokens(float64(expected)*e.reserveRatio))
+	return min(most, tokens(float64(expected)*e.reserveRatio))
 }
 
 // Reserved is the memory that is reserved for the mean request.
 func (e Estimate) Reserved() contract.Tokens {
-	return e.Prompt + contract.Tokens(e.expected*e.reserveRatio)
+	return e.Prompt + tokens(e.expected*e.reserveRatio)
 }
 
 // Known reports whether enough was seen to plan with the estimate.
@@ -107,6 +115,10 @@
 	return seconds(float64(e.Output) * (e.tokenBase + e.tokenLoad*running))
 }
 
+func tokens(n float64) contract.Tokens {
+	return contract.Tokens(math.Round(n))
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/upstream/demand/ledger.go
+++ b/upstream/demand/ledger.go
@@ -9,26 +9,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance"
 )
 
-// Bounds of the windows.
-const (
-	// fastestPrefill is in prompt tokens per second.
-	fastestPrefill = 100_000_000
-	// largestRatio is in percent.
-	largestRatio = 100_000
-)
-
-// rateQuantile is the percentile of the rates of single prefills that counts as the rate
-// of an engine: most prefills wait behind others, and a few find their prompt cached.
-const rateQuantile = 95
-
-// ratioQuantile is the percentile of the ratio of real to expected outputs for which memory
-// is reserved. A request that needs more competes for memory with the others.
-const ratioQuantile = 80
-
-// minMeasuredPrompt is the shortest prompt, in tokens, used to measure the prefill rate:
-// the time of a shorter one is mostly overhead.
-const minMeasuredPrompt = 500
-
 // Ledger holds the tallies of this process and the latest ones of its peers.
 type Ledger struct {
 	services map[directory.ServiceName]*service
@@ -38,10 +18,12 @@
 type service struct {
 	own   Tally
 	ownAt time.Time
-	// rates holds the prefill rates in tokens per second, ratios the ratios of real to
-	// expected outputs in percent.
-	rates, ratios window
-	peers         map[instance.Name]peerTally
+	// halvedAt is when the distributions of own were last halved.
+	halvedAt time.Time
+	// estimate is the last estimate, made at estimatedAt.
+	estimate    Estimate
+	estimatedAt time.Time
+	peers       map[instance.Name]peerTally
 }
 
 // peerTally is a peer's tally with the time of its arrival.
@@ -58,16 +40,17 @@
 func (l *Ledger) of(now time.Time, name directory.ServiceName) *service {
 	s, ok := l.services[name]
 	if !ok {
-		s = &service{
-			peers: make(map[instance.Name]peerTally), ownAt: now,
-			rates: newWindow(1, fastestPrefill), ratios: newWindow(1, largestRatio),
-		}
+		s = &service{ownAt: now, halvedAt: now, peers: make(map[instance.Name]peerTally)}
 		l.services[name] = s
 	}
 	if now.After(s.ownAt) {
 		s.own.fade(fadeFactor(now.Sub(s.ownAt)))
 		s.ownAt = now
 	}
+	if times := now.Sub(s.halvedAt) / HalfLife; times > 0 {
+		s.own.halve(int(times))
+		s.halvedAt = s.halvedAt.Add(times * HalfLife)
+	}
 	return s
 }
 
@@ -81,15 +64,16 @@
 	t.SizeSquared += math.Pow(float64(prompt+output), 2)
 }
 
+// minMeasuredPrompt is the shortest prompt, in tokens, used to measure the prefill rate:
+// the time of a shorter one is mostly overhead.
+const minMeasuredPrompt = 500
+
 // RecordPrefill records a prefill and the time that it took, with its wait.
 func (l *Ledger) RecordPrefill(now time.Time, name directory.ServiceName, prompt contract.Tokens, took time.Duration) {
 	if prompt < minMeasuredPrompt || took <= 0 {
 		return
 	}
-	s := l.of(now, name)
-	s.rates.record(now, float64(prompt)/took.Seconds())
-	count, rate := s.rates.quantile(rateQuantile)
-	s.own.PrefillRate = Quantile{count, rate}
+	l.of(now, name).own.PrefillRates.add(float64(prompt) / took.Seconds())
 }
 
 // RecordPace records the time that a stream takes for each token while running requests
@@ -106,16 +90,14 @@
 
 // RecordOutput records the expected and the real output of a stream that ended normally.
 func (l *Ledger) RecordOutput(now time.Time, name directory.ServiceName, expected, taken contract.Tokens) {
-	if expected <= 0 {
+	if expected <= 0 || taken <= 0 {
 		return
 	}
-	s := l.of(now, name)
-	s.own.Ended++
-	s.own.ExpectedOfEnded += float64(expected)
-	s.own.TakenByEnded += float64(taken)
-	s.ratios.record(now, 100*float64(taken)/float64(expected))
-	count, ratio := s.ratios.quantile(ratioQuantile)
-	s.own.OutputRatio = Quantile{count, ratio / 100}
+	t := &l.of(now, name).own
+	t.Ended++
+	t.ExpectedOfEnded += float64(expected)
+	t.TakenByEnded += float64(taken)
+	t.OutputRatios.add(float64(taken) / float64(expected))
 }
 
 // Own returns this process's tallies for its peers, nil if there are none.
@@ -123,13 +105,13 @@
 	var out map[directory.ServiceName]Tally
 	for name := range l.services {
 		s := l.of(now, name)
-		if s.own == (Tally{}) {
+		if s.own.Requests == 0 {
 			continue
 		}
 		if out == nil {
 			out = make(map[directory.ServiceName]Tally)
 		}
-		out[name] = s.own
+		out[name] = s.own.clone()
 	}
 	return out
 }
@@ -150,12 +132,19 @@
 // maxStoredRequests bounds the weight of the stored demand, in requests: it may be old.
 const maxStoredRequests = 100
 
-// Restore sets the demand that was stored by an earlier process, for as long as nothing
-// newer is known. It reports false and ignores a tally that no process can have counted.
+// Restore sets the demand that was stored by an earlier process. It fades like that of a
+// peer. It reports false and ignores a tally that no process can have counted.
 func (l *Ledger) Restore(now time.Time, name directory.ServiceName, t Tally) bool {
+	if !t.valid() {
+		return false
+	}
+	t = t.clone()
 	if t.Requests > maxStoredRequests {
 		t.fade(maxStoredRequests / t.Requests)
 	}
+	for t.PrefillRates.count() > maxStoredRequests || t.OutputRatios.count() > maxStoredRequests {
+		t.halve(1)
+	}
 	return l.Apply(now, stored, name, t)
 }
 
@@ -184,19 +173,25 @@
 	}
 }
 
+// estimateMaxAge is how long an estimate is used: a new one takes time in proportion to the
+// number of peers.
+const estimateMaxAge = 250 * time.Millisecond
+
 // Estimate returns the demand for a service as seen by this process and its peers.
 func (l *Ledger) Estimate(now time.Time, name directory.ServiceName) Estimate {
-	all := l.of(now, name).all(now)
-	return all.estimate()
+	s := l.of(now, name)
+	if s.estimatedAt.IsZero() || now.Sub(s.estimatedAt) >= estimateMaxAge {
+		all := s.all(now)
+		s.estimate, s.estimatedAt = all.estimate(), now
+	}
+	return s.estimate
 }
 
 // all sums the tallies of this process and its peers.
 func (s *service) all(now time.Time) Tally {
-	sum := s.own
+	sum := s.own.clone()
 	for _, p := range s.peers {
-		faded := p.Tally
-		faded.fade(fadeFactor(now.Sub(p.at)))
-		sum.add(faded)
+		sum.add(p.aged(now.Sub(p.at)))
 	}
 	return sum
 }
--- a/upstream/demand/tally.go
+++ b/upstream/demand/tally.go
@@ -17,21 +17,8 @@
 // times the duration of a role change, so that a short burst does not change the roles.
 const HalfLife = 20 * time.Second
 
-// Quantile is a quantile of recent values and their number, which fades.
-type Quantile struct {
-	Count, Value float64
-}
-
-// add merges the quantile of other values.
-func (q *Quantile) add(o Quantile) {
-	if o.Count > 0 {
-		q.Value += (o.Value - q.Value) * o.Count / (q.Count + o.Count)
-		q.Count += o.Count
-	}
-}
-
-// Tally holds what one process has seen of the requests of one service. The numbers are
-// sums whose observations fade with HalfLife.
+// Tally holds what one process has seen of the requests of one service. Its observations
+// fade with HalfLife.
 type Tally struct {
 	// Requests counts the requests that arrived; Prompt and Output sum their prompts
 	// and expected outputs, in tokens, SizeSquared the squares of both together.
@@ -43,24 +30,41 @@
 	// engines, LoadSquared the squares; Pace sums the seconds per token, LoadPace the
 	// products of both.
 	Paces, Load, LoadSquared, Pace, LoadPace float64
-	// PrefillRate is the rate of an engine that recent prefills show, in prompt tokens
-	// per second.
-	PrefillRate Quantile
-	// OutputRatio is a high quantile of the ratios of real to expected outputs of recent
-	// streams.
-	OutputRatio Quantile
+	// PrefillRates holds the rates of single prefills, in prompt tokens per second and
+	// with their waits. OutputRatios holds the ratios of real to expected outputs.
+	PrefillRates, OutputRatios Distribution
 }
 
-// fade multiplies the weight of all observations.
+// fade multiplies the weight of the observations in sums.
 func (t *Tally) fade(factor float64) {
 	for _, sum := range []*float64{
 		&t.Requests, &t.Prompt, &t.Output, &t.SizeSquared, &t.Ended, &t.ExpectedOfEnded, &t.TakenByEnded,
-		&t.Paces, &t.Load, &t.LoadSquared, &t.Pace, &t.LoadPace, &t.PrefillRate.Count, &t.OutputRatio.Count,
+		&t.Paces, &t.Load, &t.LoadSquared, &t.Pace, &t.LoadPace,
 	} {
 		*sum *= factor
 	}
 }
 
+// clone returns a copy that shares no memory.
+func (t Tally) clone() Tally {
+	t.PrefillRates, t.OutputRatios = t.PrefillRates.clone(), t.OutputRatios.clone()
+	return t
+}
+
+// aged returns a copy whose observations have faded for a time.
+func (t Tally) aged(elapsed time.Duration) Tally {
+	t = t.clone()
+	t.fade(fadeFactor(elapsed))
+	t.halve(int(elapsed / HalfLife))
+	return t
+}
+
+// halve halves the weight of the observations in distributions the given number of times.
+func (t *Tally) halve(times int) {
+	t.PrefillRates.halve(times)
+	t.OutputRatios.halve(times)
+}
+
 // fadeFactor is the weight left of observations after a time.
 func fadeFactor(elapsed time.Duration) float64 {
 	return math.Exp2(-elapsed.Seconds() / HalfLife.Seconds())
@@ -80,21 +84,20 @@
 	t.LoadSquared += o.LoadSquared
 	t.Pace += o.Pace
 	t.LoadPace += o.LoadPace
-	t.PrefillRate.add(o.PrefillRate)
-	t.OutputRatio.add(o.OutputRatio)
+	t.PrefillRates.merge(o.PrefillRates)
+	t.OutputRatios.merge(o.OutputRatios)
 }
 
-// valid reports whether all fields are finite and not negative, as a peer of the same
-// version sends them.
+// valid reports whether all sums are finite and not negative and the distributions are
+// bounded, as a peer of the same version sends them.
 func (t *Tally) valid() bool {
 	for _, v := range []float64{
 		t.Requests, t.Prompt, t.Output, t.SizeSquared, t.Ended, t.ExpectedOfEnded, t.TakenByEnded,
 		t.Paces, t.Load, t.LoadSquared, t.Pace, t.LoadPace,
-		t.PrefillRate.Count, t.PrefillRate.Value, t.OutputRatio.Count, t.OutputRatio.Value,
 	} {
 		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
 			return false
 		}
 	}
-	return true
+	return t.PrefillRates.valid() && t.OutputRatios.valid()
 }
--- a/upstream/roster/roster_test.go
+++ b/upstream/roster/roster_test.go
@@ -61,7 +61,9 @@
 		}},
 		{"down", func(b *Board, c Choice) { b.MarkDown(start, c) }},
 		{"another upstream answers at its address", func(b *Board, c Choice) { b.MarkMisdirected(start, c) }},
-		{"changing its role", func(b *Board, _ Choice) { b.SetRoleChanging("a", start.Add(time.Second)) }},
+		{"changing its role", func(b *Board, _ Choice) {
+			b.RecordRoleOrder(start, RoleOrder{ID: "a", To: upstream.RolePrefill, Busy: time.Second})
+		}},
 		{"dishonoring reservations", func(b *Board, c Choice) {
 			for range maxBrokenReservations {
 				b.RecordBrokenReservation(start, c)
@@ -184,22 +186,78 @@
 func TestMayPrefill(t *testing.T) {
 	prefillEngine := decodeRecord("p")
 	prefillEngine.Role = upstream.RolePrefill
+	const rate = 30_000
 	for _, processes := range []int{1, 5, 26} {
 		b := newTestBoard(prefillEngine)
 		c := b.Choose(start, Need{Service: "s", Role: upstream.RolePrefill})[0]
 		sent := contract.Tokens(0)
 		const prompt = 1000
-		for b.MayPrefill("s", prompt, processes) && sent < 1_000_000 {
+		for b.MayPrefill("s", prompt, rate, processes) && sent < 1_000_000 {
 			b.AddCall(c, prompt)
 			sent += prompt
 		}
-		most := PrefillBacklog.Seconds() * b.prefillRate / float64(processes)
+		most := PrefillBacklog.Seconds() * rate / float64(processes)
 		if sent < prompt || sent > max(prompt, contract.Tokens(most)) {
 			t.Errorf("%d processes: %d tokens sent by each, limit %.0f", processes, sent, most)
 		}
 	}
 }
 
+// TestMayPrefillWithoutRate checks that each engine gets one prompt at a time until the
+// prefill rate is known.
+func TestMayPrefillWithoutRate(t *testing.T) {
+	first, second := decodeRecord("p"), decodeRecord("q")
+	first.Role, second.Role = upstream.RolePrefill, upstream.RolePrefill
+	b := newTestBoard(first, second)
+	sent := 0
+	for b.MayPrefill("s", 1000, 0, 5) && sent < 10 {
+		b.AddCall(b.Choose(start, Need{Service: "s", Role: upstream.RolePrefill})[0], 1000)
+		sent++
+	}
+	if sent != 2 {
+		t.Errorf("%d prompts sent to two engines of unknown rate, want 2", sent)
+	}
+}
+
+// TestOrderedEnginesCountInTheirNewRole guards against orders to several engines where one
+// was needed: the first order shows in the registry seconds later.
+func TestOrderedEnginesCountInTheirNewRole(t *testing.T) {
+	b := newTestBoard(decodeRecord("a"), decodeRecord("b"))
+	b.RecordRoleOrder(start, RoleOrder{ID: "a", To: upstream.RolePrefill, Busy: time.Second, Pending: 10 * time.Second})
+	roleOf := func(now time.Time, id upstream.ID) (role upstream.Role, changing bool) {
+		for _, e := range b.Engines(now, "s") {
+			if e.ID == id {
+				role, changing = e.Role, e.Changing
+			}
+		}
+		return role, changing
+	}
+	if role, changing := roleOf(start.Add(9*time.Second), "a"); role != upstream.RolePrefill || !changing {
+		t.Errorf("role %v, changing %v while the order may take effect, want prefill, true", role, changing)
+	}
+	if role, changing := roleOf(start.Add(9*time.Second), "b"); role != upstream.RoleDecode || changing {
+		t.Errorf("role %v, changing %v of an engine without an order", role, changing)
+	}
+	if orders := b.RoleOrders(start.Add(9 * time.Second)); len(orders) != 1 || orders[0].Busy != 0 || orders[0].Pending != time.Second {
+		t.Errorf("orders %+v, want one that is pending for another second", orders)
+	}
+	if role, _ := roleOf(start.Add(10*time.Second), "a"); role != upstream.RoleDecode {
+		t.Errorf("role %v after the order did not take effect, want decode", role)
+	}
+	changed := decodeRecord("a")
+	changed.Role = upstream.RolePrefill
+	b.Apply(start, registry.Upstreams{Version: 2, Present: []registry.Record{changed}})
+	if role, changing := roleOf(start.Add(time.Second), "a"); role != upstream.RolePrefill || changing {
+		t.Errorf("role %v, changing %v after the change, want prefill, false", role, changing)
+	}
+	restarted := decodeRecord("a")
+	restarted.Born = 9
+	b.Apply(start, registry.Upstreams{Version: 3, Present: []registry.Record{restarted}})
+	if role, _ := roleOf(start.Add(time.Second), "a"); role != upstream.RoleDecode {
+		t.Errorf("role %v after a restart, which discards the order, want decode", role)
+	}
+}
+
 func TestServiceLoad(t *testing.T) {
 	a, c := decodeRecord("a"), decodeRecord("b")
 	a.Role, c.Role = upstream.RoleService, upstream.RoleService
--- a/upstream/split/split.go
+++ b/upstream/split/split.go
@@ -31,7 +31,13 @@
 // holdTime is the time for which a request holds memory of a decode engine that is full:
 // while its prompt is prefilled and while it runs.
 func (m Model) holdTime() time.Duration {
-	return m.Demand.PrefillTime() + m.Demand.DecodeTime(m.held())
+	return m.Demand.PrefillTime() + m.FullDecodeTime()
+}
+
+// FullDecodeTime is the time for which the mean request runs on a decode engine whose
+// memory is full.
+func (m Model) FullDecodeTime() time.Duration {
+	return m.Demand.DecodeTime(m.held())
 }
 
 // held is the number of mean requests that fill the memory of a decode engine.
@@ -105,14 +111,14 @@
 
 // Inputs returns the inputs of a plan as log keys and values.
 func (m Model) Inputs(engines []Engine) []any {
-	prefill := countRole(engines, upstream.RolePrefill)
+	prefill := CountRole(engines, upstream.RolePrefill)
 	inputs := []any{"engines", len(engines), "prefill", prefill, "known", m.Demand.Known()}
 	if !m.Demand.Known() {
 		return inputs
 	}
 	return append(inputs, "wanted", m.WantedPrefill(len(engines), prefill),
 		"prompt", m.Demand.Prompt, "output", m.Demand.Output, "held", m.held(), "error", m.Demand.Error,
-		"prefill_ms", m.Demand.PrefillTime().Milliseconds(), "decode_ms", m.Demand.DecodeTime(m.held()).Milliseconds())
+		"prefill_ms", m.Demand.PrefillTime().Milliseconds(), "decode_ms", m.FullDecodeTime().Milliseconds())
 }
 
 // Engine is an engine that accepts work, with its present role.
@@ -137,10 +143,10 @@
 func Plan(engines []Engine, m Model) []Change {
 	list := slices.Clone(engines)
 	slices.SortFunc(list, func(a, b Engine) int { return cmp.Compare(a.ID, b.ID) })
-	want := m.WantedPrefill(len(list), countRole(list, upstream.RolePrefill))
+	want := m.WantedPrefill(len(list), CountRole(list, upstream.RolePrefill))
 	var changes []Change
 	for {
-		have := countRole(list, upstream.RolePrefill)
+		have := CountRole(list, upstream.RolePrefill)
 		from, to := upstream.RolePrefill, upstream.RoleDecode
 		switch {
 		case have == want:
@@ -157,7 +163,8 @@
 	}
 }
 
-func countRole(list []Engine, role upstream.Role) int {
+// CountRole counts the engines of a role.
+func CountRole(list []Engine, role upstream.Role) int {
 	n := 0
 	for _, e := range list {
 		if e.Role == role {
