Bound every read of a gateway: bytes without end cost a connection, not the process

Cause: http.ReadResponse on a bare reader has no limit, 1xx responses were skipped without one, skipped responses were read to their end, gob accepts messages of gigabytes, and bodies of callers and answers had bounds of their own but none together.

--- a/instance/gateway/forward_test.go
+++ b/instance/gateway/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -418,3 +419,19 @@
 		}
 	})
 }
+
+// TestEndlessStream checks that a stream with more events than its request has tokens ends,
+// counts as a failure of its engine, and that a stream as long as allowed does not.
+func TestEndlessStream(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fleet, g *Gateway) {
+		m := testMessage("/stream/1")
+		most := int(m.MaxOutput) + extraEvents
+		f.runners.queue("stream", answer{result: success.result, events: most}, answer{result: success.result, events: 1_000_000})
+		checkRefusal(t, g.Forward(context.Background(), m, &callerSink{}), "", contract.RanNo)
+		sink := &callerSink{}
+		checkRefusal(t, g.Forward(context.Background(), m, sink), contract.CodeStreamBroken, contract.RanYes)
+		if n := strings.Count(sink.body, " "); n > most+1 {
+			t.Errorf("%d events reached the caller, want at most %d", n, most+1)
+		}
+	})
+}
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
@@ -75,6 +77,22 @@
 	return d.r.sink.Begin(status, header)
 }
 
+// errEndlessStream means that a stream has more events than its request has tokens.
+var errEndlessStream = errors.New("endless stream")
+
+// extraEvents is the number of events without an output token that a stream may have, such
+// as those that begin and end it.
+const extraEvents = 64
+
+// mostEvents bounds the events of a stream: each holds a token, or is one of a few others.
+// It is 0, no bound, if the caller declared no maximum output.
+func (r *request) mostEvents() int {
+	if !r.message.Sized || r.message.MaxOutput <= 0 {
+		return 0
+	}
+	return int(r.message.MaxOutput) + extraEvents
+}
+
 // Event implements runner.StreamReceiver.
 func (d *streamWriter) Event(e runner.Event) error {
 	now := d.g.clock.Now()
@@ -88,6 +106,9 @@
 		return err
 	}
 	d.r.events++
+	if most := d.r.mostEvents(); most > 0 && d.r.events > most {
+		return fmt.Errorf("stream of more than %d events: %w", most, errEndlessStream)
+	}
 	if d.r.events == paceEvents+1 && d.r.attempts == 1 {
 		d.g.recordPace(d.r, now.Sub(d.r.firstEventAt))
 	}
--- a/internal/capacity/rig.go
+++ b/internal/capacity/rig.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/contract/fair"
@@ -164,7 +166,7 @@
 		Limits: engine.Limits{Role: role, Slots: rigSlots, Blocks: 10_000, LinkBlocksPerSecond: 1e6,
 			PrefillPerSecond: 1e6, MaxQueuedTokens: 1e9, Lease: 2 * time.Second, MaxWindowWait: time.Second},
 	})
-	server, err := rpc.NewServer(nil, s)
+	server, err := rpc.NewServer(nil, s, hclog.NewNullLogger())
 	if err != nil {
 		return u, err
 	}
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -176,7 +176,7 @@
 
 // startServers starts a server on each listener, on that of the callers last.
 func (p *Entry) startServers(s settings.Entry, l entryListeners, operators []api.Operator) error {
-	peers, err := rpc.NewServer(p.core, nil)
+	peers, err := rpc.NewServer(p.core, nil, p.log)
 	if err != nil {
 		return err
 	}
--- a/internal/process/sidecar.go
+++ b/internal/process/sidecar.go
@@ -122,7 +122,7 @@
 
 // startServers starts a server on each listener.
 func (p *Sidecar) startServers(peer, operator net.Listener, operators []api.Operator) error {
-	peers, err := rpc.NewServer(nil, p.core)
+	peers, err := rpc.NewServer(nil, p.core, p.log)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -46,7 +46,7 @@
 	}
 	name := fmt.Sprintf("gateway-%d", number)
 	text := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeer = %q\nmetrics = %q\nregistry = %q\n"+
-		"peers = [%s]\nmemory = \"128MB\"\nshutdown_limit = \"4s\"\n", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "))
+		"peers = [%s]\nmemory = \"%dMB\"\nshutdown_limit = \"4s\"\n", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "), gatewayMemoryMB)
 	p := &process{
 		program:     o.Gateway,
 		settings:    filepath.Join(o.Dir, name+".toml"),
@@ -57,6 +57,31 @@
 	return p, os.WriteFile(p.settings, []byte(text), 0o600)
 }
 
+// gatewayMemoryMB is the memory that each gateway is given.
+const gatewayMemoryMB = 128
+
+// peakMemory returns the peak resident memory of the current process in bytes, 0 if there is
+// none.
+func (p *process) peakMemory() (bytes int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return 0 // the process has ended
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			if _, err := fmt.Sscan(rest, &bytes); err != nil {
+				return 0
+			}
+		}
+	}
+	return bytes << 10
+}
+
 // Ports of gateways lie below the ephemeral range of the kernel, so that no outgoing
 // connection takes the port of a gateway that is being restarted.
 const lowestPort, highestPort = 12_000, 32_000
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 
 	"math/rand/v2"
 	"net/http"
@@ -123,6 +124,7 @@
 		s.checkKeys(ctx)
 	}
 	s.check()
+	s.checkMemory()
 	return s.report, nil
 }
 
@@ -227,9 +229,41 @@
 	{"runner rejects", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Reject: 0.5}) }},
 	{"runner loses answers", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3}) }},
 	{"runner breaks off", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Break: 0.5}) }},
+	{"runner sends without end", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Endless: 0.3}) }},
+	{"peer sends without end", func(s *soak) { go floodPeer(s.randomGateway().peerAddr) }},
 	{"runner is sound", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{}) }},
 }
 
+// floodPeer sends a message that never ends to the peer listener of a gateway, until the
+// gateway closes the connection or floodFor has passed.
+func floodPeer(addr string) {
+	const floodFor = 2 * time.Second
+	c, err := net.DialTimeout("tcp", addr, floodFor)
+	if err != nil {
+		return // the gateway is not running
+	}
+	defer func() { _ = c.Close() }()
+	if c.SetDeadline(time.Now().Add(floodFor)) != nil {
+		return
+	}
+	// The length of a gob message of a gigabyte, and filler.
+	text := append([]byte{0xfc, 0x40, 0, 0, 0}, make([]byte, 32<<10)...)
+	for {
+		if _, err := c.Write(text); err != nil {
+			return
+		}
+	}
+}
+
+// checkMemory checks that no gateway that runs now has used more memory than it is given.
+func (s *soak) checkMemory() {
+	for _, g := range s.gateways {
+		if peak := g.peakMemory(); peak > gatewayMemoryMB<<20 {
+			s.failCheck("gateway at %s used %d MB, its limit is %d MB", g.callersAddr, peak>>20, gatewayMemoryMB)
+		}
+	}
+}
+
 // randomDelay returns a link delay from 5 ms to below 205 ms.
 func (s *soak) randomDelay() time.Duration {
 	return time.Duration(5+s.random.IntN(200)) * time.Millisecond
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,7 +22,7 @@
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	for _, seed := range append([]uint64{2, 3}, regressions...) {
+	for _, seed := range append([]uint64{2, 3, 22, 24}, regressions...) {
 		report, err := Run(t.Context(), Options{
 			Gateway: program, Seed: seed, Duration: 4 * time.Second, Gateways: 3, Callers: 8, Dir: t.TempDir(), RecoverWithin: 2 * time.Minute,
 		})
--- a/internal/standin/userplatform/runner.go
+++ b/internal/standin/userplatform/runner.go
@@ -61,8 +61,9 @@
 type Faults struct {
 	// Reject refuses a request without running it. Lose breaks the connection
 	// after a request is recorded as run. Break/Events is the probability that a stream's
-	// connection breaks before a given event.
-	Reject, Lose, Break float64
+	// connection breaks before a given event. Endless answers with bytes that never end;
+	// a request so answered was run.
+	Reject, Lose, Break, Endless float64
 }
 
 // Runner is one runner of the users' platform. It implements http.Handler.
@@ -98,6 +99,12 @@
 	return r.random.Float64() < share(r.faults)
 }
 
+func (r *Runner) randomNumber() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Uint64()
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	body, err := io.ReadAll(q.Body)
@@ -119,6 +126,11 @@
 	case r.draw(func(f Faults) float64 { return f.Reject }):
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.draw(func(f Faults) float64 { return f.Endless }):
+		if q.Header.Get("Serving-Phase") != "prefill" {
+			r.ledger.record(q)
+		}
+		answerEndlessly(w, id, r.randomNumber())
 	case q.Header.Get("Serving-Phase") == "prefill":
 		_, _ = io.WriteString(w, `{"kv_handle":"k","tokens":1,"version":1}`)
 	default:
--- a/link/caller/handler.go
+++ b/link/caller/handler.go
@@ -15,6 +15,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/instance/clock"
+	"github.com/trefoilwalk/trefoilwalk/link/bytebudget"
 )
 
 // Paths with handlers of their own; all others are service calls.
@@ -35,7 +36,7 @@
 	clock  clock.Clock
 	mux    *http.ServeMux
 	// bodies is shared by all running requests.
-	bodies    byteBudget
+	bodies    *bytebudget.Budget
 	readiness readiness
 	// extraCheck is a further condition for readiness; nil for none.
 	extraCheck func() (ok bool, reason string)
@@ -51,7 +52,7 @@
 		clock:  clock.System{},
 		mux:    http.NewServeMux(),
 	}
-	h.bodies.limit = h.limits.HeldBytes
+	h.bodies = bytebudget.New(h.limits.HeldBytes)
 	h.readiness.setUnready("starting")
 	h.mux.HandleFunc("GET "+PathReady, h.serveReady)
 	h.mux.HandleFunc("POST "+PathCompletions, h.generate(textCompletion))
--- a/link/caller/handler_test.go
+++ b/link/caller/handler_test.go
@@ -134,7 +134,7 @@
 				w := httptest.NewRecorder()
 				h.ServeHTTP(w, r)
 				golden.Assert(t, c.name, []byte(transcript(server, w)))
-				if held := h.bodies.held.Load(); held != 0 {
+				if held := h.bodies.Held(); held != 0 {
 					t.Errorf("%d bytes still held", held)
 				}
 			})
--- a/link/httpconn/events.go
+++ b/link/httpconn/events.go
@@ -9,7 +9,7 @@
 )
 
 // maxEventBytes bounds one event of a stream; a larger one is an error.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // ErrTruncated is returned when a stream ends inside an event.
 var ErrTruncated = errors.New("httpconn: stream ended inside an event")
@@ -31,7 +31,9 @@
 		line, err := e.reader.ReadSlice('\n')
 		raw = append(raw, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(raw) < maxEventBytes:
+		case len(raw) > maxEventBytes:
+			return "", nil, fmt.Errorf("%w: event of more than %d bytes", ErrTooLong, maxEventBytes)
+		case err == bufio.ErrBufferFull:
 			continue
 		case err == io.EOF && len(raw) == 0:
 			return "", nil, io.EOF
@@ -39,8 +41,6 @@
 			return "", nil, ErrTruncated
 		case err != nil:
 			return "", nil, fmt.Errorf("httpconn: stream: %w", err)
-		case len(raw) > maxEventBytes:
-			return "", nil, fmt.Errorf("httpconn: event of more than %d bytes", maxEventBytes)
 		}
 		if len(bytes.TrimRight(lastLine(raw), "\r\n")) == 0 {
 			return eventID(raw), raw, nil
--- a/link/httpconn/exchange.go
+++ b/link/httpconn/exchange.go
@@ -19,6 +19,9 @@
 	// ErrNoResponse means that the request may have arrived, but no complete
 	// response head was received.
 	ErrNoResponse = errors.New("httpconn: no whole answer")
+	// ErrTooLong means that a response exceeded a bound on its size. It is wrapped
+	// besides ErrNoResponse.
+	ErrTooLong = errors.New("httpconn: response too long")
 	// ErrWrongResponse means that only responses to other requests were received.
 	ErrWrongResponse = errors.New("httpconn: answer belongs to another request")
 )
@@ -28,8 +31,17 @@
 // already responds.
 const maxInlineBody = 16 << 10
 
-// maxSkippedResponses bounds the responses to other requests that are skipped.
-const maxSkippedResponses = 2
+// Bounds of what is read before the body of a response.
+const (
+	// maxSkippedResponses bounds the responses to other requests that are skipped, and
+	// maxSkippedBytes the body of each.
+	maxSkippedResponses = 2
+	maxSkippedBytes     = 1 << 20
+	// maxProvisional bounds the provisional responses.
+	maxProvisional = 8
+	// maxHeadBytes bounds the heads of all these and of the response together.
+	maxHeadBytes = 64 << 10
+)
 
 // Request is one request. Its fields are written as they are, except that a
 // Content-Length is added.
@@ -119,14 +131,17 @@
 }
 
 // receive reads the head of the response. It skips provisional responses and up to
-// maxSkippedResponses responses to other requests.
+// maxSkippedResponses responses to other requests, each within the bounds above.
 func (x *exchange) receive(q *Request) (*Response, error) {
-	// ReadResponse needs the method to know whether a body follows.
-	request := &http.Request{Method: q.Method}
+	head := x.conn.limit
+	head.left = maxHeadBytes
 	for range maxSkippedResponses + 1 {
-		resp, err := http.ReadResponse(x.conn.reader, request)
-		for err == nil && resp.StatusCode >= 100 && resp.StatusCode < 200 {
-			resp, err = http.ReadResponse(x.conn.reader, request)
+		head.on = true
+		resp, err := x.readHead(q.Method)
+		head.on = false
+		if head.left <= 0 && !errors.Is(err, ErrTooLong) {
+			// The parser may report a line that was cut by the bound as malformed.
+			err = errors.Join(err, head.tooLong())
 		}
 		if err != nil {
 			x.abort()
@@ -135,8 +150,8 @@
 		if q.MatchResponse == nil || q.MatchResponse(resp) {
 			return x.response(resp), nil
 		}
-		_, err = io.Copy(io.Discard, resp.Body)
-		if err != nil || resp.Close {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+		if err != nil || resp.Close || skipped > maxSkippedBytes {
 			break
 		}
 	}
@@ -144,6 +159,19 @@
 	return nil, ErrWrongResponse
 }
 
+// readHead reads the head of the next response that is not provisional.
+func (x *exchange) readHead(method string) (*http.Response, error) {
+	// ReadResponse needs the method to know whether a body follows.
+	request := &http.Request{Method: method}
+	for range maxProvisional + 1 {
+		resp, err := http.ReadResponse(x.conn.reader, request)
+		if err != nil || resp.StatusCode < 100 || resp.StatusCode >= 200 {
+			return resp, err
+		}
+	}
+	return nil, fmt.Errorf("%w: more than %d provisional responses", ErrTooLong, maxProvisional)
+}
+
 func (x *exchange) response(resp *http.Response) *Response {
 	r := &Response{Response: resp, exchange: x}
 	resp.Body = &body{ReadCloser: resp.Body, exchange: x}
--- a/link/httpconn/pool.go
+++ b/link/httpconn/pool.go
@@ -7,6 +7,8 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -63,6 +65,8 @@
 	net.Conn
 	addr   string
 	reader *bufio.Reader
+	// limit bounds what reader reads from the connection.
+	limit *readLimit
 	// expires is when an idle connection must no longer be reused.
 	expires time.Time
 	// used is set once an exchange has completed on the connection.
@@ -159,7 +163,33 @@
 	p.mu.Lock()
 	p.dialCount++
 	p.mu.Unlock()
-	return &conn{Conn: raw, addr: addr, reader: bufio.NewReader(raw)}, nil
+	limit := &readLimit{reader: raw}
+	return &conn{Conn: raw, addr: addr, reader: bufio.NewReader(limit), limit: limit}, nil
+}
+
+// readLimit reads at most left bytes from a connection while it is on. Bytes that the
+// buffer in front of it holds already do not count.
+type readLimit struct {
+	reader io.Reader
+	on     bool
+	left   int
+}
+
+func (l *readLimit) tooLong() error {
+	return fmt.Errorf("%w: heads of more than %d bytes", ErrTooLong, maxHeadBytes)
+}
+
+// Read implements io.Reader.
+func (l *readLimit) Read(p []byte) (int, error) {
+	if !l.on {
+		return l.reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, l.tooLong()
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
 }
 
 func (p *Pool) pop(addr string) *conn {
--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
+	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 )
 
@@ -157,7 +158,7 @@
 		c.err = err
 		d.dropConn(addr, c)
 	} else {
-		c.client = rpc.NewClient(raw)
+		c.client = rpc.NewClient(gobframe.Limit(raw, gobframe.MaxMessageBytes))
 	}
 	close(c.opened)
 }
--- a/link/peer/rpc/rpc_test.go
+++ b/link/peer/rpc/rpc_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 )
@@ -168,7 +170,7 @@
 	}
 	r.addr = l.Addr().String()
 	r.listener = l
-	r.server, err = NewServer(r.entry, nil)
+	r.server, err = NewServer(r.entry, nil, hclog.NewNullLogger())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/link/peer/rpc/server.go
+++ b/link/peer/rpc/server.go
@@ -8,13 +8,17 @@
 	"sync"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
+	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 )
 
 // Server serves the calls of peers that connect to a listener.
 type Server struct {
 	server *rpc.Server
+	log    hclog.Logger
 	// ctx is the context of all calls; Close ends it.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -29,10 +33,10 @@
 
 // NewServer returns a server for the calls of an entry, of a sidecar or of both; nil
 // means that the process has no such part.
-func NewServer(entry peer.Entry, sidecar peer.Sidecar) (*Server, error) {
+func NewServer(entry peer.Entry, sidecar peer.Sidecar, log hclog.Logger) (*Server, error) {
 	configcodec.Register()
 	ctx, cancel := context.WithCancel(context.Background())
-	s := &Server{server: rpc.NewServer(), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool)}
+	s := &Server{server: rpc.NewServer(), ctx: ctx, cancel: cancel, conns: make(map[net.Conn]bool), log: log}
 	if entry != nil {
 		if err := s.server.RegisterName("Entry", &entryMethods{ctx: ctx, entry: entry}); err != nil {
 			return nil, fmt.Errorf("peer listener: %w", err)
@@ -58,7 +62,11 @@
 			return
 		}
 		s.serving.Go(func() {
-			s.server.ServeConn(c)
+			limited := gobframe.Limit(c, gobframe.MaxMessageBytes)
+			s.server.ServeConn(limited)
+			if err := limited.TooLong(); err != nil {
+				s.log.Warn("connection of a peer closed", "address", c.RemoteAddr().String(), "error", err)
+			}
 			s.untrack(c)
 		})
 	}
--- a/link/peer/rpc/size_test.go
+++ b/link/peer/rpc/size_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/config"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
@@ -86,7 +88,7 @@
 			if c.sync != nil {
 				e.sync = *c.sync
 			}
-			server, err := NewServer(e, nil)
+			server, err := NewServer(e, nil, hclog.NewNullLogger())
 			if err != nil {
 				b.Fatal(err)
 			}
--- a/link/relay/relayrpc/rpc.go
+++ b/link/relay/relayrpc/rpc.go
@@ -10,6 +10,9 @@
 	"net/rpc"
 	"sync"
 
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 )
 
@@ -35,6 +38,7 @@
 // Server serves the calls of gateways that connect to a listener.
 type Server struct {
 	rpc *rpc.Server
+	log hclog.Logger
 
 	// mu protects conns and closed.
 	mu     sync.Mutex
@@ -43,8 +47,8 @@
 }
 
 // NewServer returns a server whose calls are cancelled when ctx ends.
-func NewServer(ctx context.Context, server relay.Server) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{})}
+func NewServer(ctx context.Context, server relay.Server, log hclog.Logger) (*Server, error) {
+	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{}), log: log}
 	if err := s.rpc.RegisterName(service, &Methods{ctx: ctx, server: server}); err != nil {
 		return nil, fmt.Errorf("relay listener: %w", err)
 	}
@@ -69,7 +73,11 @@
 			return
 		}
 		go func() {
-			s.rpc.ServeConn(c)
+			limited := gobframe.Limit(c, gobframe.MaxMessageBytes)
+			s.rpc.ServeConn(limited)
+			if err := limited.TooLong(); err != nil {
+				s.log.Warn("connection of a peer closed", "address", c.RemoteAddr().String(), "error", err)
+			}
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
@@ -137,7 +145,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn = rpc.NewClient(raw)
+	conn = rpc.NewClient(gobframe.Limit(raw, gobframe.MaxMessageBytes))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if other, ok := c.conns[addr]; ok {
