Reserve half way to the maximum output until the ratio of outputs is known

Cause: before real outputs were seen only the expected ones were reserved, half of which are too small: engines preempted in the first bursts.

--- a/instance/gateway/demand.go
+++ b/instance/gateway/demand.go
@@ -27,7 +27,7 @@
 // recordDemand records the size of a request to engines.
 func (g *Gateway) recordDemand(h *table.HeldLocks, r *request) {
 	g.demand.With(h, func(l **demand.Ledger) {
-		(*l).RecordRequest(r.arrived, r.service, r.message.Prompt, r.expectedOutput())
+		(*l).RecordRequest(r.arrived, r.service, r.message.Prompt, r.expectedOutput(), r.message.MaxOutput)
 	})
 }
 
--- a/upstream/demand/estimate.go
+++ b/upstream/demand/estimate.go
@@ -19,9 +19,11 @@
 	tokenBase, tokenLoad float64
 	// Error is the relative standard error of the mean size of a request.
 	Error float64
-	// reserveRatio times the expected output is reserved for a request; expected is the
-	// mean expected output.
-	reserveRatio, expected float64
+	// reserveRatio is the ratio to the expected output that most outputs do not exceed;
+	// reserveWeight, from 0 to 1, says how well it is known.
+	reserveRatio, reserveWeight float64
+	// expected and most are the mean expected and the mean maximum output.
+	expected, most float64
 }
 
 // Numbers of observations below which nothing is estimated.
@@ -48,10 +50,11 @@
 
 // estimate returns the estimate that follows from the observations.
 func (t *Tally) estimate() Estimate {
-	e := Estimate{PrefillRate: t.PrefillRates.quantile(rateQuantile), reserveRatio: t.reserveRatio()}
+	e := Estimate{PrefillRate: t.PrefillRates.quantile(rateQuantile), reserveRatio: t.OutputRatios.quantile(ratioQuantile)}
+	e.reserveWeight = t.OutputRatios.count() / (t.OutputRatios.count() + hintWeight)
 	if t.Requests >= minRequests {
 		e.Prompt = tokens(t.Prompt / t.Requests)
-		e.expected = t.Output / t.Requests
+		e.expected, e.most = t.Output/t.Requests, t.MostOutput/t.Requests
 		e.Output = tokens(e.expected * t.outputRatio())
 	}
 	if t.Requests >= minRequests && t.Prompt+t.Output > 0 {
@@ -83,20 +86,21 @@
 	return 1 + weight*(t.TakenByEnded/t.ExpectedOfEnded-1)
 }
 
-// reserveRatio is the ratio to the expected output for which memory is reserved, at least 1.
-func (t *Tally) reserveRatio() float64 {
-	n := t.OutputRatios.count()
-	return max(1, 1+n/(n+hintWeight)*(t.OutputRatios.quantile(ratioQuantile)-1))
+// reserve returns the output for which to reserve memory: what most requests with the
+// expected output do not exceed and, as far as that is not known, half way to the maximum.
+func (e Estimate) reserve(expected, most float64) float64 {
+	known, unknown := max(expected, expected*e.reserveRatio), (expected+most)/2
+	return min(most, e.reserveWeight*known+(1-e.reserveWeight)*unknown)
 }
 
 // Reserve returns the output, in tokens, for which to reserve memory for a request.
 func (e Estimate) Reserve(expected, most contract.Tokens) contract.Tokens {
-	return min(most, tokens(float64(expected)*e.reserveRatio))
+	return tokens(e.reserve(float64(expected), float64(most)))
 }
 
 // Reserved is the memory that is reserved for the mean request.
 func (e Estimate) Reserved() contract.Tokens {
-	return e.Prompt + tokens(e.expected*e.reserveRatio)
+	return e.Prompt + tokens(e.reserve(e.expected, e.most))
 }
 
 // Known reports whether enough was seen to plan with the estimate.
--- a/upstream/demand/ledger.go
+++ b/upstream/demand/ledger.go
@@ -55,12 +55,13 @@
 }
 
 // RecordRequest records a request that arrived, whether or not it will be served. output
-// is the expected one.
-func (l *Ledger) RecordRequest(now time.Time, name directory.ServiceName, prompt, output contract.Tokens) {
+// is the expected one, most the largest possible.
+func (l *Ledger) RecordRequest(now time.Time, name directory.ServiceName, prompt, output, most contract.Tokens) {
 	t := &l.of(now, name).own
 	t.Requests++
 	t.Prompt += float64(prompt)
 	t.Output += float64(output)
+	t.MostOutput += float64(most)
 	t.SizeSquared += math.Pow(float64(prompt+output), 2)
 }
 
--- a/upstream/demand/tally.go
+++ b/upstream/demand/tally.go
@@ -21,8 +21,9 @@
 // fade with HalfLife.
 type Tally struct {
 	// Requests counts the requests that arrived; Prompt and Output sum their prompts
-	// and expected outputs, in tokens, SizeSquared the squares of both together.
-	Requests, Prompt, Output, SizeSquared float64
+	// and expected outputs, in tokens, SizeSquared the squares of both together, and
+	// MostOutput their maximum outputs.
+	Requests, Prompt, Output, SizeSquared, MostOutput float64
 	// Ended counts the streams that ended normally; ExpectedOfEnded and TakenByEnded
 	// sum the expected and the real outputs of these, in tokens.
 	Ended, ExpectedOfEnded, TakenByEnded float64
@@ -38,7 +39,7 @@
 // fade multiplies the weight of the observations in sums.
 func (t *Tally) fade(factor float64) {
 	for _, sum := range []*float64{
-		&t.Requests, &t.Prompt, &t.Output, &t.SizeSquared, &t.Ended, &t.ExpectedOfEnded, &t.TakenByEnded,
+		&t.Requests, &t.Prompt, &t.Output, &t.SizeSquared, &t.MostOutput, &t.Ended, &t.ExpectedOfEnded, &t.TakenByEnded,
 		&t.Paces, &t.Load, &t.LoadSquared, &t.Pace, &t.LoadPace,
 	} {
 		*sum *= factor
@@ -76,6 +77,7 @@
 	t.Prompt += o.Prompt
 	t.Output += o.Output
 	t.SizeSquared += o.SizeSquared
+	t.MostOutput += o.MostOutput
 	t.Ended += o.Ended
 	t.ExpectedOfEnded += o.ExpectedOfEnded
 	t.TakenByEnded += o.TakenByEnded
@@ -92,7 +94,7 @@
 // bounded, as a peer of the same version sends them.
 func (t *Tally) valid() bool {
 	for _, v := range []float64{
-		t.Requests, t.Prompt, t.Output, t.SizeSquared, t.Ended, t.ExpectedOfEnded, t.TakenByEnded,
+		t.Requests, t.Prompt, t.Output, t.SizeSquared, t.MostOutput, t.Ended, t.ExpectedOfEnded, t.TakenByEnded,
 		t.Paces, t.Load, t.LoadSquared, t.Pace, t.LoadPace,
 	} {
 		if math.IsNaN(v) || math.IsInf(v, 0) || v < 0 {
