--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -381,7 +381,7 @@
 	l := demand.NewLedger()
 	now := time.Now()
 	for range 100 {
-		l.RecordRequest(now, "engines", 3000, 3000)
+		l.RecordRequest(now, "engines", 3000, 3000, 3000)
 		l.RecordPrefill(now, "engines", 3000, 100*time.Millisecond)
 		l.RecordPace(now, "engines", 20, 2*time.Millisecond)
 	}
--- a/upstream/demand/demand_test.go
+++ b/upstream/demand/demand_test.go
@@ -34,7 +34,7 @@
 	for range n {
 		p := contract.Tokens(prompt * math.Exp(0.4*random.NormFloat64()-0.08))
 		expected := contract.Tokens(output / 0.75 * math.Exp(0.4*random.NormFloat64()-0.08))
-		l.RecordRequest(now, engines, p, expected)
+		l.RecordRequest(now, engines, p, expected, 2*expected)
 		took := float64(p) / rate
 		switch {
 		case random.IntN(30) == 0:
@@ -114,7 +114,7 @@
 		for range seconds {
 			now = now.Add(time.Second)
 			for range 10 {
-				l.RecordRequest(now, engines, p, o)
+				l.RecordRequest(now, engines, p, o, 2*o)
 			}
 		}
 	}
@@ -133,12 +133,13 @@
 	}
 }
 
-// TestReserve checks how much output is reserved: what eight of ten requests take.
+// TestReserve checks how much output is reserved: half way to the maximum until the outputs
+// are known, then what eight of ten requests take.
 func TestReserve(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 4))
 	l := NewLedger()
-	if got := l.Estimate(start, engines).Reserve(100, 300); got != 100 {
-		t.Errorf("%d tokens reserved before anything is known, want the expected 100", got)
+	if got := l.Estimate(start, engines).Reserve(100, 300); got != 200 {
+		t.Errorf("%d tokens reserved before anything is known, want 200, half way from 100 to 300", got)
 	}
 	for range 2000 {
 		l.RecordOutput(start, engines, 100, contract.Tokens(100*math.Exp(0.5*random.NormFloat64())))
@@ -162,7 +163,7 @@
 	l.Restore(start, engines, old.All(start)[engines])
 	checkEstimate(t, "restored", l.Estimate(start, engines))
 	for range 900 {
-		l.RecordRequest(start, engines, 500, 100)
+		l.RecordRequest(start, engines, 500, 100, 100)
 	}
 	if e := l.Estimate(start.Add(estimateMaxAge), engines); e.Prompt > 1000 {
 		t.Errorf("mean prompt %d after 900 of 500 tokens and stored ones of %d", e.Prompt, prompt)
@@ -187,8 +188,8 @@
 
 func TestRetain(t *testing.T) {
 	l := NewLedger()
-	l.RecordRequest(start, "a", 1, 1)
-	l.RecordRequest(start, "b", 1, 1)
+	l.RecordRequest(start, "a", 1, 1, 1)
+	l.RecordRequest(start, "b", 1, 1, 1)
 	l.Retain(func(name directory.ServiceName) bool { return name == "a" })
 	if got := l.Own(start); len(got) != 1 || got["a"].Requests == 0 {
 		t.Errorf("%v after b was removed from the configuration, want only a", got)
--- a/upstream/split/model_test.go
+++ b/upstream/split/model_test.go
@@ -123,7 +123,7 @@
 			for range 5 {
 				size := math.Exp(0.5*random.NormFloat64() - 0.125)
 				prompt := contract.Tokens(float64(p.prompt) * size)
-				ledger.RecordRequest(now, "s", prompt, contract.Tokens(float64(p.output)*size))
+				ledger.RecordRequest(now, "s", prompt, contract.Tokens(float64(p.output)*size), contract.Tokens(float64(p.output)*size))
 				ledger.RecordPrefill(now, "s", prompt, time.Duration(float64(prompt)/modelPrefillRate*float64(time.Second)))
 				ledger.RecordPace(now, "s", 8, modelPace)
 			}
--- a/upstream/split/split_test.go
+++ b/upstream/split/split_test.go
@@ -34,7 +34,7 @@
 	l := demand.NewLedger()
 	now := time.Unix(1000, 0)
 	for range n {
-		l.RecordRequest(now, "s", prompt, output)
+		l.RecordRequest(now, "s", prompt, output, output)
 		l.RecordPrefill(now, "s", prompt, prefill)
 		l.RecordPace(now, "s", 8, perToken)
 	}
