--- a/instance/gateway/demand.go
+++ b/instance/gateway/demand.go
@@ -102,10 +102,15 @@
 	})
 }
 
-// restoreDemand takes the demand that an earlier process stored.
+// restoreDemand takes the demand that an earlier process stored. Services that are not
+// configured are dropped, here or with the first configuration.
 func (g *Gateway) restoreDemand(h *table.HeldLocks, tallies map[directory.ServiceName]demand.Tally) {
 	now := g.clock.Now()
+	snapshot := g.snapshot(h)
 	for name, tally := range tallies {
+		if snapshot != nil && !snapshot.RunsEngines(name) {
+			continue
+		}
 		restored := false
 		g.demand.With(h, func(l **demand.Ledger) { restored = (*l).Restore(now, name, tally) })
 		if !restored {
--- a/internal/endless/endless.go
+++ b/internal/endlesstest/endlesstest.go
@@ -1,6 +1,6 @@
-// Package endless is a stand-in for a server in trouble: it answers each request with bytes
+// Package endlesstest is a stand-in for a server in trouble: it answers each request with bytes
 // that never end, until the client closes the connection.
-package endless
+package endlesstest
 
 import (
 	"bufio"
--- a/link/httpconn/endless_test.go
+++ b/link/httpconn/endless_test.go
@@ -9,7 +9,7 @@
 	"net/http"
 	"testing"
 
-	"github.com/trefoilwalk/trefoilwalk/internal/endless"
+	"github.com/trefoilwalk/trefoilwalk/internal/endlesstest"
 )
 
 const chunkedHead = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -18,7 +18,7 @@
 // using much memory.
 func TestEndless(t *testing.T) {
 	filler := "filler filler filler filler filler filler filler filler "
-	for name, a := range map[string]endless.Answer{
+	for name, a := range map[string]endlesstest.Answer{
 		"header lines":          {Head: "HTTP/1.1 200 OK\r\n", Repeat: "X-Filler: " + filler + "\r\n"},
 		"one header line":       {Head: "HTTP/1.1 200 OK\r\nX-Filler: ", Repeat: filler},
 		"no status line":        {Repeat: filler},
@@ -37,9 +37,9 @@
 		t.Run(name, func(t *testing.T) {
 			p := New(Options{})
 			defer p.Close()
-			addr := endless.Serve(t, a, false)
-			endless.Check(t, func() {
-				ctx, cancel := context.WithTimeout(context.Background(), endless.Patience)
+			addr := endlesstest.Serve(t, a, false)
+			endlesstest.Check(t, func() {
+				ctx, cancel := context.WithTimeout(context.Background(), endlesstest.Patience)
 				defer cancel()
 				resp, err := p.Do(ctx, addr, request("1"))
 				if err == nil {
@@ -56,16 +56,16 @@
 
 // TestEndlessEvent plays streams with an event that never ends.
 func TestEndlessEvent(t *testing.T) {
-	for name, a := range map[string]endless.Answer{
+	for name, a := range map[string]endlesstest.Answer{
 		"one line": {Head: chunkless, Repeat: "data data data data data data data data data data "},
 		"lines":    {Head: chunkless, Repeat: "data: data data data data data data data data data\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := New(Options{})
 			defer p.Close()
-			addr := endless.Serve(t, a, false)
-			endless.Check(t, func() {
-				ctx, cancel := context.WithTimeout(context.Background(), endless.Patience)
+			addr := endlesstest.Serve(t, a, false)
+			endlesstest.Check(t, func() {
+				ctx, cancel := context.WithTimeout(context.Background(), endlesstest.Patience)
 				defer cancel()
 				resp, err := p.Do(ctx, addr, request("1"))
 				if err != nil {
@@ -114,7 +114,7 @@
 func TestEndlessClosesConnection(t *testing.T) {
 	p := New(Options{})
 	defer p.Close()
-	addr := endless.Serve(t, endless.Answer{Repeat: "x"}, false)
+	addr := endlesstest.Serve(t, endlesstest.Answer{Repeat: "x"}, false)
 	_, err := p.Do(context.Background(), addr, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
 	if !errors.Is(err, ErrNoResponse) || !errors.Is(err, ErrTooLong) {
 		t.Errorf("error %v, want %v and %v", err, ErrNoResponse, ErrTooLong)
--- a/link/relay/relayrpc/rpc_test.go
+++ b/link/relay/relayrpc/rpc_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
-	"github.com/trefoilwalk/trefoilwalk/internal/endless"
+	"github.com/trefoilwalk/trefoilwalk/internal/endlesstest"
 	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 )
@@ -87,9 +87,9 @@
 	// The length of a message of a gigabyte, as gob encodes it.
 	gigabyte := string([]byte{0xfc, 0x40, 0, 0, 0})
 	t.Run("server", func(t *testing.T) {
-		addr := endless.Serve(t, endless.Answer{Head: gigabyte, Repeat: "x"}, true)
-		endless.Check(t, func() {
-			ctx, cancel := context.WithTimeout(context.Background(), endless.Patience)
+		addr := endlesstest.Serve(t, endlesstest.Answer{Head: gigabyte, Repeat: "x"}, true)
+		endlesstest.Check(t, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), endlesstest.Patience)
 			defer cancel()
 			if _, err := NewClient(dial).Exchange(ctx, addr, usage(1)); err == nil {
 				t.Error("an exchange with an endless peer succeeded")
@@ -103,8 +103,8 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
-		endless.Check(t, func() {
-			if err := c.SetDeadline(time.Now().Add(endless.Patience)); err != nil {
+		endlesstest.Check(t, func() {
+			if err := c.SetDeadline(time.Now().Add(endlesstest.Patience)); err != nil {
 				t.Fatal(err)
 			}
 			text := []byte(gigabyte + strings.Repeat("x", 32<<10))
