--- a/instance/gateway/roles.go
+++ b/instance/gateway/roles.go
@@ -103,9 +103,10 @@
 		}
 		engines, model := g.rolesModel(h, now, service)
 		model.Pending = pending
-		if planned := split.Plan(engines, model); len(planned) > 0 {
+		planned := split.Plan(engines, model)
+		changes = append(changes, planned...)
+		if len(planned) > 0 && !pending {
 			g.log.Info(string(eventRolesPlanned), append([]any{"service", name, "changes", len(planned)}, model.Inputs(engines)...)...)
-			changes = append(changes, planned...)
 		}
 	}
 	return changes
