Free a KV cache at the engine that keeps it, by its identifier

Cause: the call named only the address, which another runner may have by then. Found by a test of Target-Instance on control calls; it failed first (free@ without an identifier).

--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -163,7 +163,7 @@
 	if a.result.Reach != runner.Answered {
 		return runner.Handle{}, a.result
 	}
-	return runner.Handle{ID: "k", Addr: to.Addr}, a.result
+	return runner.Handle{ID: "k", Addr: to.Addr, Engine: to.ID}, a.result
 }
 
 func (f *fakeRunners) FreeHandle(ctx context.Context, to runner.Target, id string) runner.Result {
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -56,7 +56,7 @@
 // freeHandle frees a KV cache that no engine will fetch.
 func (g *Gateway) freeHandle(source runner.Handle, r *request) pool.Effect {
 	return g.cleanup(func(ctx context.Context) runner.Result {
-		return g.runners.FreeHandle(ctx, runner.Target{Addr: source.Addr}, source.ID)
+		return g.runners.FreeHandle(ctx, runner.Target{ID: source.Engine, Addr: source.Addr}, source.ID)
 	}, "handle", r)
 }
 
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -82,6 +82,8 @@
 type Handle struct {
 	ID   string
 	Addr string
+	// Engine is the engine that keeps the KV cache, while it has the address.
+	Engine upstream.ID
 }
 
 // Answer is the complete answer to a message.
