Bound what entries and sidecars read of engines, services and the platform

Cause: the three clients on net/http had its bound of 10 MB for a head, a stream of an engine had none for a line, and replies of the platform 64 MiB. Now heads 64 KiB, a line 256 KiB, replies 2 and 4 MiB, a list 100,000 instances; plain answers 4 MiB instead of 16.

--- a/link/httpconn/exchange.go
+++ b/link/httpconn/exchange.go
@@ -40,9 +40,12 @@
 	// maxProvisional bounds the provisional responses.
 	maxProvisional = 8
 	// maxHeadBytes bounds the heads of all these and of the response together.
-	maxHeadBytes = 64 << 10
+	maxHeadBytes = MaxHeadBytes
 )
 
+// MaxHeadBytes bounds the head of a response, also for clients that use net/http.
+const MaxHeadBytes = 64 << 10
+
 // Request is one request. Its fields are written as they are, except that a
 // Content-Length is added.
 type Request struct {
--- a/link/platform/rest/client.go
+++ b/link/platform/rest/client.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 )
 
@@ -25,7 +26,7 @@
 const (
 	dialTimeout  = time.Second
 	idleConns    = 64
-	maxReply     = 64 << 20
+	maxReply     = 4 << 20
 	maxErrorText = 1 << 10
 )
 
@@ -45,6 +46,8 @@
 		transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idleConns,
+
+			MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 		}
 	}
 	return &Client{
@@ -99,7 +102,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	body, err := httpconn.ReadAtMost(resp.Body, maxReply)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", lostOrUnavailable(q.write), err)
 	}
--- a/link/platform/rest/services.go
+++ b/link/platform/rest/services.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/url"
 	"slices"
 
+	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
 )
 
@@ -131,9 +133,20 @@
 	return list, nil
 }
 
+// maxListed bounds the instances in a list: twenty times the size to design for.
+const maxListed = 100_000
+
 func decodeInstances(body io.Reader) ([]platform.ListedInstance, error) {
+	text, err := httpconn.ReadAtMost(body, maxReply)
+	if err != nil {
+		return nil, err
+	}
+	// Checked before decoding: an empty instance takes many times its text.
+	if n := bytes.Count(text, []byte("{")); n > maxListed {
+		return nil, fmt.Errorf("list of %d instances, at most %d", n, maxListed)
+	}
 	var reply InstancesReply
-	if err := json.NewDecoder(io.LimitReader(body, maxReply)).Decode(&reply); err != nil {
+	if err := json.Unmarshal(text, &reply); err != nil {
 		return nil, err
 	}
 	list := make([]platform.ListedInstance, len(reply.Instances))
--- a/link/upstream/engineapi/client.go
+++ b/link/upstream/engineapi/client.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
 )
 
@@ -26,7 +27,7 @@
 const (
 	dialTimeout   = time.Second
 	idleConns     = 64
-	maxReplyBytes = 4 << 20
+	maxReplyBytes = 2 << 20
 	// cancelTimeout limits the call that cancels a stream after its context ended.
 	cancelTimeout = 2 * time.Second
 )
@@ -45,6 +46,8 @@
 		transport = &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: idleConns,
+
+			MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 		}
 	}
 	return &Client{
--- a/link/upstream/engineapi/stream.go
+++ b/link/upstream/engineapi/stream.go
@@ -47,12 +47,35 @@
 	emitFailed bool
 }
 
+// maxLineBytes bounds a line of a stream, which holds the tokens of one step.
+const maxLineBytes = 256 << 10
+
+var errLongLine = fmt.Errorf("line of more than %d bytes", maxLineBytes)
+
+// lineLimit reads at most left bytes, which is set before each line.
+type lineLimit struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (l *lineLimit) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errLongLine
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 func (r *streamReader) read(body io.Reader) error {
-	lines := json.NewDecoder(body)
+	limited := &lineLimit{reader: body, left: maxLineBytes}
+	lines := json.NewDecoder(limited)
 	if err := r.checkFirstLine(lines); err != nil {
 		return err
 	}
 	for {
+		limited.left = maxLineBytes
 		var event Event
 		if err := lines.Decode(&event); err != nil {
 			return fmt.Errorf("%w: stream interrupted at token %d: %w", link.ErrInterrupted, r.next, err)
--- a/link/upstream/serviceapi/client.go
+++ b/link/upstream/serviceapi/client.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -18,6 +17,7 @@
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	link "github.com/trefoilwalk/trefoilwalk/link/upstream"
 )
 
@@ -33,7 +33,7 @@
 const (
 	dialTimeout = time.Second
 	// MaxAnswer is the maximum size of an answer's body, in bytes.
-	MaxAnswer = 16 << 20
+	MaxAnswer = 4 << 20
 )
 
 // errIncomplete means that the end of an answer's body cannot be distinguished from a
@@ -62,6 +62,8 @@
 			DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 		}
 	}
 	return &Client{base: parsed, http: &http.Client{Transport: transport, CheckRedirect: returnRedirect}}, nil
@@ -139,12 +141,12 @@
 }
 
 func readAnswer(resp *http.Response) (contract.ServiceAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswer+1))
+	body, err := httpconn.ReadAtMost(resp.Body, MaxAnswer)
 	if err != nil {
 		return contract.ServiceAnswer{}, fmt.Errorf("%w: %w", link.ErrInterrupted, err)
 	}
 	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Request.Method != http.MethodHead
-	if untilClose || len(body) > MaxAnswer {
+	if untilClose {
 		return contract.ServiceAnswer{}, fmt.Errorf("%w: %w", link.ErrInterrupted, errIncomplete)
 	}
 	return contract.ServiceAnswer{
