--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -85,7 +85,7 @@
 	if result.Reach == runner.Answered {
 		g.metrics.recordPhase(PhasePrefill, now.Sub(r.prefillAt))
 		g.logEvent(r, eventPrefilled, "upstream", choice.ID, "tokens", prompt,
-			"took_ms", now.Sub(r.prefillAt).Milliseconds(), "held_tokens", choice.Tokens, "engine_running", result.Load.Running, "engine_waiting", result.Load.Waiting)
+			"took_ms", now.Sub(r.prefillAt).Milliseconds(), "held_tokens", choice.Tokens)
 		return append(g.stream(h, r, handle), g.placeNextWaiter(h, r.service)...)
 	}
 	g.logAttempt(r, "prefill", choice, result)
