Log what the requests cut by a crash share, and how far each had come

The three hypotheses of the incident could not be told apart: a line of a crash named the requests that were cut, not what their prompts share.

No decision changes.

--- a/contract/ids.go
+++ b/contract/ids.go
@@ -12,6 +12,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"fmt"
+	"strconv"
 )
 
 // AccountID identifies a client account.
@@ -53,6 +54,19 @@
 // Repeats of the same request have the same fingerprint.
 type Fingerprint uint64
 
+// PartID identifies a part of a prompt. Parts with the same ID have the same content.
+type PartID uint64
+
+// String returns the ID in hex, as callers send it.
+func (p PartID) String() string {
+	return strconv.FormatUint(uint64(p), 16)
+}
+
+// MarshalText writes the ID as String does, in logs too.
+func (p PartID) MarshalText() ([]byte, error) {
+	return []byte(p.String()), nil
+}
+
 // KeyHash is the SHA-256 of a caller's key. Keys themselves are never stored.
 type KeyHash [sha256.Size]byte
 
--- a/contract/message.go
+++ b/contract/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -32,11 +33,37 @@
 	ExpectedOutput Tokens
 	// Sized reports whether the caller declared Prompt and MaxOutput.
 	Sized bool
+	// Parts lists the parts of the prompt that the caller declares, in order. Requests
+	// share parts; the last one belongs to the request or its session alone.
+	Parts []PromptPart
 	// ResumeAfter is the identifier of the last event that the caller received
 	// in an earlier attempt; empty if none.
 	ResumeAfter string
 }
 
+// MaxPromptParts bounds the parts kept of a message; the last one is always kept.
+const MaxPromptParts = 64
+
+// PromptPart is one part of a prompt. Equal parts of different requests have the same ID.
+type PromptPart struct {
+	ID     PartID
+	Tokens Tokens
+}
+
+// SharedParts returns the IDs of the parts that other requests may have too, without
+// repeats, in ascending order.
+func (m *Message) SharedParts() []PartID {
+	if len(m.Parts) < 2 {
+		return nil
+	}
+	ids := make([]PartID, 0, len(m.Parts)-1)
+	for _, part := range m.Parts[:len(m.Parts)-1] {
+		ids = append(ids, part.ID)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // MessageSink writes the answer to a Message to the caller. Its methods are
 // called from one goroutine at a time; an error means that the caller has
 // disconnected.
--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -32,6 +32,7 @@
 	}
 	choice := *r.assigned
 	r.attempts++
+	r.sentAt = r.placedAt
 	g.logEvent(r, eventSent, "upstream", choice.ID, "attempt", r.attempts, "held_calls", choice.Calls)
 	options := r.options(r.placedAt)
 	retryable := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && others > 0
--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -34,7 +34,10 @@
 	g.suspects.With(h, func(t **quarantine.Table) {
 		quarantined = (*t).RecordCrash(now, choice.ID, []contract.Fingerprint{r.fingerprint})
 	})
-	g.log.Info(string(eventCrashed), "request", r.message.ID, "upstream", choice.ID, "address", choice.Addr, "error", err)
+	g.log.Info(string(eventCrashed), "request", r.message.ID, "upstream", choice.ID, "address", choice.Addr, "born", choice.Born,
+		"account", r.accountID(), "route", r.route.Name, "fingerprint", r.fingerprint, "shared_parts", r.message.SharedParts(),
+		"sent_ms", now.Sub(r.sentAt).Milliseconds(), "events", r.attemptEvents(), "error", err)
+	g.metrics.recordCrash(r.attemptEvents() > 0)
 	if len(quarantined) > 0 {
 		g.log.Warn(string(eventQuarantined), "request", r.message.ID, "upstream", choice.ID)
 	}
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -86,6 +86,23 @@
 	failedAttempts map[AttemptKey]uint64
 	phases         map[string]*Histogram
 	serviceLevels  *burn.Recorder
+	crashes        CrashCounts
+}
+
+// CrashCounts counts the calls that broke off at a crash of their upstream: those that had
+// delivered part of an answer and those that had not.
+type CrashCounts struct {
+	Begun, NotBegun uint64
+}
+
+func (m *Metrics) recordCrash(begun bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if begun {
+		m.crashes.Begun++
+		return
+	}
+	m.crashes.NotBegun++
 }
 
 // NewMetrics returns counters at zero, whose service levels start at now.
@@ -209,6 +226,7 @@
 	// FailedAttempts counts calls that led to no answer for the caller.
 	FailedAttempts map[AttemptKey]uint64
 	Phases         map[string]Histogram
+	Crashes        CrashCounts
 	// ServiceLevels are the service levels by route, over several windows.
 	ServiceLevels burn.Snapshot
 }
@@ -226,6 +244,7 @@
 		SampledOut:     m.sampledOut,
 		FailedAttempts: maps.Clone(m.failedAttempts),
 		Phases:         cloneHistograms(m.phases),
+		Crashes:        m.crashes,
 		ServiceLevels:  m.serviceLevels.Snapshot(now, ""),
 	}
 }
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -73,6 +73,10 @@
 	firstEventAt time.Time
 	lastEventAt  time.Time
 	events       int
+	// earlierEvents is the part of events that earlier attempts delivered; sentAt is when
+	// the last attempt was sent.
+	earlierEvents int
+	sentAt        time.Time
 	// startLoad is the load of the engine when the stream began.
 	startLoad runner.Load
 	// longestGap is the longest time between two events.
@@ -129,6 +133,11 @@
 	}
 }
 
+// attemptEvents is the number of events that the last attempt delivered.
+func (r *request) attemptEvents() int {
+	return r.events - r.earlierEvents
+}
+
 // excludeUpstream keeps later attempts of the request away from an upstream.
 func (r *request) excludeUpstream(id upstream.ID) {
 	if !slices.Contains(r.excluded, id) {
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -29,6 +29,7 @@
 	// The request consumes its reservation at the engine.
 	r.reservation = ""
 	r.attempts++
+	r.earlierEvents, r.sentAt = r.events, now
 	return g.requestEffect(r, func() pool.Step {
 		answer, result := g.runners.Stream(r.ctx, choice.Target, r.message, options, &streamWriter{g: g, r: r})
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterStream(h, r, choice, source, answer, result) }
