Failing test: distinct requests with one deadly part crash engine after engine

Five gateways before nine decode engines that crash as they begin to answer a prompt with a certain part; sound requests share the key, the first part and another part.

--- /dev/null
+++ b/instance/gateway/deadlypart_test.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream"
+)
+
+// engineRestart is how long a crashed engine of crashingEngines is down.
+const engineRestart = 3 * time.Second
+
+// crashingEngines are decode engines that crash as they begin the answer to a prompt with
+// a deadly part, and break off all other streams then.
+type crashingEngines struct {
+	*fakeRunners
+	registry *fakeRegistry
+	// firstEvent is the time to the first event, wholeAnswer that to the last one.
+	firstEvent, wholeAnswer time.Duration
+
+	mu     sync.Mutex
+	deadly map[contract.PartID]bool
+	// crashed is closed at the crash of an engine's current incarnation.
+	crashed map[upstream.ID]chan struct{}
+	down    map[upstream.ID]bool
+	crashes []time.Time
+	// reached is when messages with a deadly part reached an engine, prefills included.
+	reached []time.Time
+}
+
+func newCrashingEngines(f *fleet, deadly ...contract.PartID) *crashingEngines {
+	c := &crashingEngines{
+		fakeRunners: f.runners, registry: f.registry, firstEvent: 60 * time.Millisecond, wholeAnswer: 600 * time.Millisecond,
+		deadly: make(map[contract.PartID]bool), crashed: make(map[upstream.ID]chan struct{}), down: make(map[upstream.ID]bool),
+	}
+	for _, id := range deadly {
+		c.deadly[id] = true
+	}
+	f.client = c
+	return c
+}
+
+// arrive records a message at an engine. crashed is nil if the engine is down.
+func (c *crashingEngines) arrive(to runner.Target, m *contract.Message) (isDeadly bool, crashed chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down[to.ID] {
+		return false, nil
+	}
+	isDeadly = slices.ContainsFunc(m.SharedParts(), func(id contract.PartID) bool { return c.deadly[id] })
+	if isDeadly {
+		c.reached = append(c.reached, time.Now())
+	}
+	if c.crashed[to.ID] == nil {
+		c.crashed[to.ID] = make(chan struct{})
+	}
+	return isDeadly, c.crashed[to.ID]
+}
+
+// crash ends an engine's incarnation; the next one registers engineRestart later.
+func (c *crashingEngines) crash(id upstream.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down[id] {
+		return
+	}
+	c.down[id] = true
+	c.crashes = append(c.crashes, time.Now())
+	close(c.crashed[id])
+	delete(c.crashed, id)
+	time.AfterFunc(engineRestart, func() {
+		c.mu.Lock()
+		c.down[id] = false
+		c.mu.Unlock()
+		c.registry.change(func() {
+			r := c.registry.list[id]
+			r.Born++
+			c.registry.list[id] = r
+		})
+	})
+}
+
+var engineDown = runner.Result{Reach: runner.NotSent, Refused: true, Err: syscall.ECONNREFUSED}
+
+func (c *crashingEngines) Reserve(ctx context.Context, to runner.Target, n contract.Tokens, ttl time.Duration) (string, runner.Result) {
+	c.mu.Lock()
+	down := c.down[to.ID]
+	c.mu.Unlock()
+	if down {
+		return "", engineDown
+	}
+	return c.fakeRunners.Reserve(ctx, to, n, ttl)
+}
+
+func (c *crashingEngines) Prefill(ctx context.Context, to runner.Target, m *contract.Message, o runner.Options) (runner.Handle, runner.Result) {
+	if _, crashed := c.arrive(to, m); crashed == nil {
+		return runner.Handle{}, engineDown
+	}
+	return c.fakeRunners.Prefill(ctx, to, m, o)
+}
+
+func (c *crashingEngines) Stream(ctx context.Context, to runner.Target, m *contract.Message, o runner.Options, sink runner.StreamReceiver) (runner.Answer, runner.Result) {
+	isDeadly, crashed := c.arrive(to, m)
+	if crashed == nil {
+		return runner.Answer{}, engineDown
+	}
+	cut := runner.Result{Reach: runner.Broken, Status: 200, Err: errors.New("unexpected EOF")}
+	const events = 5
+	next, err := strconv.Atoi(o.ResumeAfter)
+	if err != nil {
+		next = 0
+	}
+	pause := c.firstEvent
+	for id := next + 1; id <= events; id++ {
+		select {
+		case <-ctx.Done():
+			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: context.Cause(ctx)}
+		case <-crashed:
+			return runner.Answer{}, cut
+		case <-time.After(pause):
+		}
+		if isDeadly {
+			c.crash(to.ID)
+			return runner.Answer{}, cut
+		}
+		pause = (c.wholeAnswer - c.firstEvent) / (events - 1)
+		if err := sink.Begin(200, nil, runner.Load{}); err != nil {
+			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: err}
+		}
+		if err := sink.Event(runner.Event{ID: strconv.Itoa(id), Raw: []byte(strconv.Itoa(id) + " ")}); err != nil {
+			return runner.Answer{}, runner.Result{Reach: runner.Broken, Err: err}
+		}
+	}
+	return runner.Answer{}, success.result
+}
+
+func (c *crashingEngines) Reachable(_ context.Context, to runner.Target) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down[to.ID] {
+		return syscall.ECONNREFUSED
+	}
+	return nil
+}
+
+// reachedAfter counts the deadly messages that reached an engine later than after the
+// crash with that number, counted from 1.
+func (c *crashingEngines) reachedAfter(crash int, after time.Duration) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.crashes) < crash {
+		return 0
+	}
+	for _, at := range c.reached {
+		if at.After(c.crashes[crash-1].Add(after)) {
+			n++
+		}
+	}
+	return n
+}
+
+// crashingFleet has nine prefill and nine decode engines and no quota.
+func crashingFleet(deadly ...contract.PartID) (*fleet, *crashingEngines) {
+	f := testFleet()
+	for i := range 9 {
+		p, d := record("p"+strconv.Itoa(i), "engines", upstream.RolePrefill), record("d"+strconv.Itoa(i), "engines", upstream.RoleDecode)
+		f.registry.list[p.ID], f.registry.list[d.ID] = p, d
+	}
+	f.registry.config.Accounts["weaver"].Quota = directory.Quota{}
+	return f, newCrashingEngines(f, deadly...)
+}
+
+// promptOf returns a message with a body and a last part of its own after the given parts.
+func promptOf(n int, parts ...contract.PartID) *contract.Message {
+	m := testMessage("/resumable/1")
+	m.ID = contract.RequestID(strconv.Itoa(n))
+	m.Body = []byte(m.ID)
+	for _, id := range append(parts, contract.PartID(1_000_000+n)) {
+		m.Parts = append(m.Parts, contract.PromptPart{ID: id, Tokens: 100})
+	}
+	return m
+}
+
+// Parts of the prompts of these tests.
+const (
+	deadlyPart contract.PartID = 13
+	firstPart  contract.PartID = 1
+	otherPart  contract.PartID = 2
+)
+
+// playDeadlyPart sends deadly and sound requests to the gateways in turn and returns the
+// refusals of the sound ones that were sent from then on, nil for those that were answered.
+// Sound requests share the key, the first part and other parts with the deadly ones.
+func playDeadlyPart(gateways []*Gateway, deadlyEvery, soundEvery, lasts, from time.Duration) (sound []*contract.Refusal) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	random := rand.New(rand.NewPCG(1, 2))
+	start := time.Now()
+	send := func(n int, isSound bool, parts ...contract.PartID) {
+		g := gateways[random.IntN(len(gateways))]
+		sent := time.Since(start)
+		all.Go(func() {
+			refusal := g.Forward(context.Background(), promptOf(n, parts...), &callerSink{})
+			if isSound && sent >= from {
+				mu.Lock()
+				defer mu.Unlock()
+				sound = append(sound, refusal)
+			}
+		})
+	}
+	nextDeadly, n := deadlyEvery, 0
+	for time.Since(start) < lasts {
+		time.Sleep(soundEvery)
+		n += 2
+		switch n / 2 % 3 {
+		case 0:
+			send(n, true, firstPart)
+		case 1:
+			send(n, true, firstPart, otherPart)
+		default:
+			send(n, true, otherPart)
+		}
+		if time.Since(start) >= nextDeadly {
+			nextDeadly += deadlyEvery
+			switch n / 2 % 2 {
+			case 0:
+				send(n+1, false, firstPart, deadlyPart)
+			default:
+				send(n+1, false, firstPart, otherPart, deadlyPart)
+			}
+		}
+	}
+	all.Wait()
+	return sound
+}
+
+// TestDistinctRequestsWithOneDeadlyPart guards against requests that keep crashing engines
+// because none equals an earlier one.
+func TestDistinctRequestsWithOneDeadlyPart(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		deadlyEvery time.Duration
+	}{{"rare", 2 * time.Second}, {"common", 300 * time.Millisecond}, {"burst", 60 * time.Millisecond}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, engines := crashingFleet(deadlyPart)
+				var gateways []*Gateway
+				for _, name := range []string{"g1", "g2", "g3", "g4", "g5"} {
+					g := f.start(t, name, "g1")
+					defer g.Close()
+					gateways = append(gateways, g)
+				}
+				time.Sleep(2 * time.Second)
+				sound := playDeadlyPart(gateways, c.deadlyEvery, 20*time.Millisecond, 40*time.Second, 20*time.Second)
+				if n := engines.reachedAfter(5, 3*time.Second); n > 3 {
+					t.Errorf("%d requests reached engines later than 3 s after the fifth crash, %d engines crashed", n, len(engines.crashes))
+				}
+				refused := slices.DeleteFunc(sound, func(r *contract.Refusal) bool { return r == nil })
+				if len(refused) > 0 {
+					t.Errorf("%d sound requests failed, the first: %+v", len(refused), *refused[0])
+				}
+				t.Logf("%d crashes, %d deadly requests at engines", len(engines.crashes), len(engines.reached))
+				time.Sleep(engineRestart)
+			})
+		})
+	}
+}
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -431,7 +431,9 @@
 
 // fleet holds the fakes that a test's gateways share.
 type fleet struct {
-	runners  *fakeRunners
+	runners *fakeRunners
+	// client is used in place of runners if it is set.
+	client   runner.Client
 	registry *fakeRegistry
 	peers    *fakePeers
 	// log may be nil.
@@ -457,11 +459,15 @@
 // start starts a gateway. It is not ready until its first reads have finished.
 func (f *fleet) start(t *testing.T, name string, seeds ...string) *Gateway {
 	t.Helper()
+	client := f.client
+	if client == nil {
+		client = f.runners
+	}
 	g := New(Options{
 		Self:       instance.Identity{Name: instance.Name(name), Incarnation: instance.Incarnation(time.Now().UnixNano())},
 		Addr:       name,
 		Seeds:      seeds,
-		Runners:    f.runners,
+		Runners:    client,
 		Registry:   f.registry,
 		Peers:      f.peers,
 		Quota:      quota.Options{Window: 8 * time.Second},
