Ban the parts of prompts that crash engines, whatever else the requests hold

Callers saw their streams break again and again: engines crashed one after the other, 25 in 22 s on a fleet of 12, and came back only to crash anew.

Cause: what crashes engines was only known by the fingerprint of a whole request. One part of a prompt crashed each engine that began to answer it, no two requests with it were alike, so each was new to the quarantine and took one or two engines with it. Evidence: at each of 27 crashes exactly one cut request without an event had the same two shared parts, 17 different requests in all. The class of fault: a cause that requests share, looked up by the identity of one request.

Now gateways record the requests that a crash cut before their answers began, exchange them, and ban what these have in common after three crashes in succession of two requests or more (five if an answer began with the part before). A ban holds all parts that the cut requests share, and an answer that begins removes its parts from it, so a sound request is served though it shares the account, the first part or others. Bans are checked at admission and before each send, told to peers, and stored for a restart of the whole fleet. After a ban one gateway lets single prompts through.

TestDistinctRequestsWithOneDeadlyPart: 48, 236 and 736 requests later than 3 s after the fifth crash before, none now; sound requests failed 6, 999 and 1,000 of 1,000 before, none now.

--- a/contract/ids.go
+++ b/contract/ids.go
@@ -67,6 +67,13 @@
 	return []byte(p.String()), nil
 }
 
+// UnmarshalText is the inverse of MarshalText.
+func (p *PartID) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*p = PartID(n)
+	return err
+}
+
 // KeyHash is the SHA-256 of a caller's key. Keys themselves are never stored.
 type KeyHash [sha256.Size]byte
 
--- a/instance/gateway/admission.go
+++ b/instance/gateway/admission.go
@@ -10,7 +10,6 @@
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
-	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 )
 
@@ -137,6 +136,7 @@
 		configVersion: version,
 		arrived:       now,
 		deadline:      now.Add(timeout),
+		sharedParts:   m.SharedParts(),
 		done:          make(chan *contract.Refusal, 1),
 	}
 	r.fingerprint = contract.FingerprintOf(r.accountID(), route.Name, m.Method, m.Target, string(m.Body))
@@ -174,20 +174,6 @@
 	g.quotas.With(h, func(m **quota.Meter) { (*m).Refund(g.clock.Now(), r.account.ID, r.cost) })
 }
 
-// checkQuarantine returns a refusal if requests with this fingerprint crash upstreams.
-func (g *Gateway) checkQuarantine(h *table.HeldLocks, r *request) (refusal *contract.Refusal) {
-	now := g.clock.Now()
-	g.suspects.With(h, func(t **quarantine.Table) { refusal = (*t).Check(now, r.fingerprint) })
-	return refusal
-}
-
-// clearSuspect records that the request ran without a crash, so that crashes at which it
-// was present no longer count against it.
-func (g *Gateway) clearSuspect(h *table.HeldLocks, r *request) {
-	now := g.clock.Now()
-	g.suspects.With(h, func(t **quarantine.Table) { (*t).RecordCompletion(now, r.fingerprint) })
-}
-
 // abort cancels a request whose caller left or whose deadline passed. A waiter is
 // ended here; otherwise the step after the canceled call in flight ends the request.
 func (g *Gateway) abort(h *table.HeldLocks, r *request, callerLeft bool) []pool.Effect {
--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -23,7 +23,7 @@
 // callPlain sends a plain request, one that is neither a stream nor for a model, to an
 // upstream of its service.
 func (g *Gateway) callPlain(h *table.HeldLocks, r *request) []pool.Effect {
-	if refusal := g.checkCanceled(h, r); refusal != nil {
+	if refusal := g.checkSend(h, r); refusal != nil {
 		return g.finishPlain(h, r, refusal)
 	}
 	others, refusal := g.placeWithoutModel(h, r)
@@ -32,7 +32,6 @@
 	}
 	choice := *r.assigned
 	r.attempts++
-	r.sentAt = r.placedAt
 	g.logEvent(r, eventSent, "upstream", choice.ID, "attempt", r.attempts, "held_calls", choice.Calls)
 	options := r.options(r.placedAt)
 	retryable := r.route.Kind == directory.Idempotent && r.route.Objective > 0 && r.attempts < r.route.MaxAttempts && others > 0
@@ -73,6 +72,9 @@
 	switch result.Reach {
 	case runner.Answered:
 		r.ran = contract.RanYes
+		if result.Status < 300 {
+			g.recordAnswerBegun(h, r)
+		}
 		if result.Status < 500 {
 			return append(effects, g.deliver(h, r, answer)...)
 		}
@@ -84,7 +86,7 @@
 	}
 	g.logAttempt(r, "call", choice, result)
 	if result.Reach == runner.Broken && !ended {
-		effects = append(effects, g.checkCrash(r, choice)...)
+		effects = append(effects, g.checkCrash(r, choice, r.placedAt, 0)...)
 	}
 	if !ended {
 		r.excludeUpstream(choice.ID)
--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -14,8 +14,10 @@
 
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 )
 
 // engineRestart is how long a crashed engine of crashingEngines is down.
@@ -145,13 +147,13 @@
 	return runner.Answer{}, success.result
 }
 
-func (c *crashingEngines) Reachable(_ context.Context, to runner.Target) error {
+func (c *crashingEngines) Reachable(_ context.Context, to runner.Target) runner.Result {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.down[to.ID] {
-		return syscall.ECONNREFUSED
+		return engineDown
 	}
-	return nil
+	return success.result
 }
 
 // reachedAfter counts the deadly messages that reached an engine later than after the
@@ -276,3 +278,77 @@
 		})
 	}
 }
+
+// bannedNotes bans a part.
+func bannedNotes(part contract.PartID) quarantine.PartNotes {
+	return quarantine.PartNotes{Bans: []quarantine.BanNote{{Parts: []contract.PartID{part}, For: time.Minute, Lasts: time.Minute}}}
+}
+
+// TestBanOutlivesAllGateways guards against engines that crash anew after a restart of the
+// whole fleet.
+func TestBanOutlivesAllGateways(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, engines := crashingFleet(deadlyPart)
+		for i, name := range []string{"g1", "g1", "g2"} {
+			g := f.start(t, name)
+			time.Sleep(2 * time.Second)
+			before := len(engines.crashes)
+			playDeadlyPart([]*Gateway{g}, 300*time.Millisecond, 50*time.Millisecond, 6*time.Second, 0)
+			g.Close()
+			if after := len(engines.crashes); i == 0 && after == 0 || i > 0 && after > before {
+				t.Errorf("start %d: %d crashes, then %d", i+1, before, after)
+			}
+		}
+		time.Sleep(engineRestart)
+	})
+}
+
+// TestEndedBansLeaveTheRegistry checks that a ban that an answer disproved is not restored.
+func TestEndedBansLeaveTheRegistry(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fleet, g *Gateway) {
+		g.applyPartNotes(table.NewHeldLocks(), bannedNotes(deadlyPart), "test")
+		time.Sleep(2 * BansSaveEvery)
+		if bans, err := f.registry.LoadBans(context.Background()); err != nil || len(bans) != 1 {
+			t.Fatalf("%d bans in the registry, %v, want one", len(bans), err)
+		}
+		g.promptParts.With(table.NewHeldLocks(), func(p **quarantine.PartTable) {
+			(*p).RecordAnswerBegun(time.Now(), []contract.PartID{deadlyPart})
+		})
+		time.Sleep(2 * BansSaveEvery)
+		if bans, err := f.registry.LoadBans(context.Background()); err != nil || len(bans) != 0 {
+			t.Errorf("%d bans in the registry after an answer, %v", len(bans), err)
+		}
+	})
+}
+
+// TestWaitingRequestWithBannedPart guards against requests that wait for a place, or for
+// their prefill, while a part of their prompt is banned, and are sent then.
+func TestWaitingRequestWithBannedPart(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		calls map[string][]answer
+		after string
+	}{
+		{"before the reservation", map[string][]answer{"reserve": slices.Repeat([]answer{full}, 12)}, "prefill"},
+		{"before the stream", map[string][]answer{"prefill": {{result: success.result, takes: 200 * time.Millisecond}}}, "stream"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, f *fleet, g *Gateway) {
+				for kind, answers := range c.calls {
+					f.runners.queue(kind, answers...)
+				}
+				time.AfterFunc(100*time.Millisecond, func() {
+					g.applyPartNotes(table.NewHeldLocks(), bannedNotes(deadlyPart), "test")
+				})
+				checkRefusal(t, g.Forward(context.Background(), promptOf(1, deadlyPart), &callerSink{}), contract.CodeQuarantined, contract.RanNo)
+				synctest.Wait()
+				if n := f.runners.count(c.after); n > 0 {
+					t.Errorf("%d calls %s with a banned part", n, c.after)
+				}
+				if held, freed := f.runners.count("reserve"), f.runners.count("release"); c.after == "stream" && (held != 1 || freed != 1) {
+					t.Errorf("%d reservations, %d released", held, freed)
+				}
+			})
+		})
+	}
+}
--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -37,8 +37,11 @@
 	eventPeerLost     logMessage = "peer_lost"
 	eventPeerBack     logMessage = "peer_back"
 	eventQuarantined  logMessage = "request_quarantined"
-	eventServing      logMessage = "serving"
-	eventDraining     logMessage = "draining"
+	// eventPartsBanned: prompts with all of these parts are refused, since they crash
+	// engines.
+	eventPartsBanned logMessage = "prompt_parts_banned"
+	eventServing     logMessage = "serving"
+	eventDraining    logMessage = "draining"
 	// eventLeaseTaken: this process took the lease and sends the role orders.
 	eventLeaseTaken logMessage = "duty_taken"
 	// eventLeaseLost: a round of role orders ended early or without the lease, for the
@@ -57,6 +60,8 @@
 	eventCrashed     logMessage = "upstream_crashed"
 	// eventDemandNotStored: the demand could not be stored; it is tried again later.
 	eventDemandNotStored logMessage = "demand_not_stored"
+	// eventBansNotStored: the bans of prompt parts could not be stored.
+	eventBansNotStored logMessage = "bans_not_stored"
 	// eventDemandInvalid: a peer or the registry stated a demand that no process can
 	// have counted.
 	eventDemandInvalid logMessage = "demand_invalid"
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -21,6 +21,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/retry"
 )
 
@@ -60,8 +61,10 @@
 	options []runner.Options
 	orders  []runner.RoleOrder
 	report  runner.Report
-	// unreachable upstreams accept no connection.
+	// unreachable upstreams accept no connection: they refuse it, or if silent is set do
+	// not answer.
 	unreachable map[upstream.ID]bool
+	silent      bool
 	held        int
 }
 
@@ -69,6 +72,13 @@
 	return &fakeRunners{answers: make(map[string][]answer), unreachable: make(map[upstream.ID]bool)}
 }
 
+// setReachable makes all upstreams reachable.
+func (f *fakeRunners) setReachable() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	clear(f.unreachable)
+}
+
 // queue adds answers for a kind of call.
 func (f *fakeRunners) queue(kind string, answers ...answer) {
 	f.mu.Lock()
@@ -215,13 +225,17 @@
 	return a.result
 }
 
-func (f *fakeRunners) Reachable(_ context.Context, to runner.Target) error {
+func (f *fakeRunners) Reachable(_ context.Context, to runner.Target) runner.Result {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.unreachable[to.ID] {
-		return errors.New("connection refused")
+	switch {
+	case !f.unreachable[to.ID]:
+		return success.result
+	case f.silent:
+		return runner.Result{Reach: runner.NotSent, Err: context.DeadlineExceeded}
+	default:
+		return engineDown
 	}
-	return nil
 }
 
 // errRegistryDown is the error of a fakeRegistry that is down.
@@ -236,6 +250,7 @@
 	list    map[upstream.ID]registry.Record
 	entries []registry.Entry
 	demand  map[directory.ServiceName]demand.Tally
+	bans    []quarantine.BanNote
 	lease   registry.Lease
 	leaseAt time.Time
 	down    bool
@@ -374,6 +389,25 @@
 	return maps.Clone(f.demand), nil
 }
 
+func (f *fakeRegistry) SaveBans(_ context.Context, bans []quarantine.BanNote) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return errRegistryDown
+	}
+	f.bans = bans
+	return nil
+}
+
+func (f *fakeRegistry) LoadBans(context.Context) ([]quarantine.BanNote, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errRegistryDown
+	}
+	return slices.Clone(f.bans), nil
+}
+
 // manyTokens is a demand with which decode engines of testConfig need most of a fleet: a
 // prompt of 3,000 tokens is prefilled in 100 ms, an output of 3,000 takes 6 s beside 20
 // others.
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -106,14 +106,18 @@
 	sampler sampler
 	lastRow atomic.Uint64
 
-	config     *table.Single[*configuration]
-	members    *table.Single[*members]
-	quotas     *table.Single[*quota.Meter]
-	waitLists  *table.Single[map[directory.ServiceName]*waitList]
-	requests   *table.Striped[rowID, *request]
-	board      *table.Single[*roster.Board]
-	demand     *table.Single[*demand.Ledger]
-	suspects   *table.Single[*quarantine.Table]
+	config    *table.Single[*configuration]
+	members   *table.Single[*members]
+	quotas    *table.Single[*quota.Meter]
+	waitLists *table.Single[map[directory.ServiceName]*waitList]
+	requests  *table.Striped[rowID, *request]
+	board     *table.Single[*roster.Board]
+	demand    *table.Single[*demand.Ledger]
+	suspects  *table.Single[*quarantine.Table]
+	// promptParts is never locked together with suspects, which has the same rank.
+	promptParts *table.Single[*quarantine.PartTable]
+	// bansSaved is set while this process's last write to the registry had bans.
+	bansSaved  atomic.Bool
 	roleOrders *table.Single[*roleOrders]
 	// retryBudgets has one budget for each service.
 	retryBudgets *table.Single[map[directory.ServiceName]*retry.Budget]
@@ -162,6 +166,7 @@
 		board:        table.NewSingle(table.RankBoard, roster.NewBoard(o.Self.Place)),
 		demand:       table.NewSingle(table.RankDemand, demand.NewLedger()),
 		suspects:     table.NewSingle(table.RankQuarantine, quarantine.New(quarantine.Options{})),
+		promptParts:  table.NewSingle(table.RankQuarantine, quarantine.NewPartTable()),
 		roleOrders:   table.NewSingle(table.RankOrders, &roleOrders{}),
 		retryBudgets: table.NewSingle(table.RankStats, make(map[directory.ServiceName]*retry.Budget)),
 	}
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -156,8 +156,8 @@
 	return out[:min(len(out), MaxExchanges)]
 }
 
-// enterRegistry adds this process to the registry's list of gateways and reads the list
-// and the stored demand.
+// enterRegistry adds this process to the registry's list of gateways and reads the list,
+// the stored demand and the stored bans.
 func (g *Gateway) enterRegistry(*table.HeldLocks) []pool.Effect {
 	self := registry.Entry{Name: string(g.options.Self.Name), Addr: g.options.Addr}
 	return registryCall(3*ReadTimeout, func(ctx context.Context) pool.Step {
@@ -170,8 +170,13 @@
 		if err == nil {
 			tallies, err = g.registry.LoadDemand(ctx)
 		}
+		var bans []quarantine.BanNote
+		if err == nil {
+			bans, err = g.registry.LoadBans(ctx)
+		}
 		return func(h *table.HeldLocks) []pool.Effect {
 			g.restoreDemand(h, tallies)
+			g.applyPartNotes(h, quarantine.PartNotes{Bans: bans}, "registry")
 			return g.afterEnter(h, entries, err)
 		}
 	})
@@ -272,6 +277,7 @@
 	g.quotas.With(h, func(q **quota.Meter) { m.Usage = (*q).StatementFor(now, to) })
 	g.demand.With(h, func(l **demand.Ledger) { m.Demand = (*l).Own(now) })
 	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
+	g.promptParts.With(h, func(t **quarantine.PartTable) { m.PromptParts = (*t).Notes(now) })
 	g.board.With(h, func(b **roster.Board) { m.RoleOrders = (*b).RoleOrders(now) })
 	return m
 }
@@ -333,6 +339,7 @@
 	if len(m.Suspects) > 0 {
 		g.suspects.With(h, func(t **quarantine.Table) { (*t).MergeNotes(now, m.Suspects) })
 	}
+	g.applyPartNotes(h, m.PromptParts, string(m.From.Name))
 }
 
 // Exchange implements relay.Server. The reply carries the configuration if the sender
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -26,7 +26,7 @@
 // decode engine, or reuses an unused KV cache. If no prefill engine is left or the retry
 // budget is empty, the decode engine prefills the prompt.
 func (g *Gateway) prefill(h *table.HeldLocks, r *request) []pool.Effect {
-	if refusal := g.checkCanceled(h, r); refusal != nil {
+	if refusal := g.checkSend(h, r); refusal != nil {
 		return g.finish(h, r, refusal)
 	}
 	if source := r.unusedHandle; source.ID != "" {
@@ -98,7 +98,7 @@
 	}
 	effects := g.placeNextWaiter(h, r.service)
 	if result.Reach == runner.Broken && !ended {
-		effects = append(effects, g.checkCrash(r, choice)...)
+		effects = append(effects, g.checkCrash(r, choice, r.prefillAt, 0)...)
 	}
 	return append(effects, g.prefill(h, r)...)
 }
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -37,7 +37,7 @@
 // startBackground starts the registry reads, the exchanges with peers and the role
 // checks.
 func (g *Gateway) startBackground() {
-	for _, step := range []pool.Step{g.readConfig, g.readUpstreams, g.enterRegistry, g.runPeriodicWork, g.checkRoles, g.saveDemand} {
+	for _, step := range []pool.Step{g.readConfig, g.readUpstreams, g.enterRegistry, g.runPeriodicWork, g.checkRoles, g.saveDemand, g.saveBansPeriodically} {
 		g.pool.Enqueue(step)
 	}
 }
@@ -238,7 +238,7 @@
 const SweepEvery = 500 * time.Millisecond
 
 // runPeriodicWork removes upstreams whose registration has expired, starts a new round
-// of the quota meter and exchanges messages with peers. It schedules itself again.
+// of the quota meter, decides on the parts of prompts that crash engines and exchanges messages with peers. It schedules itself again.
 func (g *Gateway) runPeriodicWork(h *table.HeldLocks) []pool.Effect {
 	now := g.clock.Now()
 	var changes []roster.Change
@@ -247,5 +247,5 @@
 	processes := g.countGateways(h, now)
 	g.quotas.With(h, func(q **quota.Meter) { (*q).BeginRound(processes) })
 	g.pool.After(SweepEvery, g.runPeriodicWork)
-	return g.exchangeWithPeers(h)
+	return append(g.decideBans(h), g.exchangeWithPeers(h)...)
 }
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -26,8 +26,10 @@
 	route    *directory.Route
 	service  directory.ServiceName
 	// account is nil on open routes.
-	account       *directory.Account
-	fingerprint   contract.Fingerprint
+	account     *directory.Account
+	fingerprint contract.Fingerprint
+	// sharedParts are those of the prompt that other requests may have too.
+	sharedParts   []contract.PartID
 	cost          float64
 	configVersion uint64
 	log           requestLog
@@ -38,6 +40,8 @@
 	cancel context.CancelFunc
 	done   chan *contract.Refusal
 	ended  bool
+	// crashedUpstream is set when an upstream crashed before it began the answer.
+	crashedUpstream bool
 
 	// assigned is the decode engine with a reservation, or the upstream of a plain
 	// call; heldTokens is what the board counts for it.
--- a/instance/gateway/reserve.go
+++ b/instance/gateway/reserve.go
@@ -34,7 +34,7 @@
 // reserve asks decode engines in turn for a reservation, before the prompt is read. The
 // request waits if the prefill backlog is full or no engine has room.
 func (g *Gateway) reserve(h *table.HeldLocks, r *request) []pool.Effect {
-	if refusal := g.checkCanceled(h, r); refusal != nil {
+	if refusal := g.checkSend(h, r); refusal != nil {
 		return append(g.finish(h, r, refusal), g.endPlacement(h, r, true)...)
 	}
 	now := g.clock.Now()
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -15,7 +15,7 @@
 // stream sends the request to the engine or upstream at its place. source is the
 // prefilled KV cache to fetch, or empty if the engine prefills the prompt itself.
 func (g *Gateway) stream(h *table.HeldLocks, r *request, source runner.Handle) []pool.Effect {
-	if refusal := g.checkCanceled(h, r); refusal != nil {
+	if refusal := g.checkSend(h, r); refusal != nil {
 		effects := g.finish(h, r, refusal)
 		if source.ID != "" {
 			effects = append(effects, g.freeHandle(source, r))
@@ -107,6 +107,12 @@
 		return err
 	}
 	d.r.events++
+	if d.r.attemptEvents() == begunEvents {
+		d.g.pool.Enqueue(func(h *table.HeldLocks) []pool.Effect {
+			d.g.recordAnswerBegun(h, d.r)
+			return nil
+		})
+	}
 	if most := d.r.mostEvents(); most > 0 && d.r.events > most {
 		return fmt.Errorf("stream of more than %d events: %w", most, errEndlessStream)
 	}
@@ -130,6 +136,9 @@
 	switch result.Reach {
 	case runner.Answered:
 		r.ran = contract.RanYes
+		if result.Status < 300 {
+			g.recordAnswerBegun(h, r)
+		}
 		g.recordOutput(h, r)
 		return append(effects, g.finishAnswered(h, r, answer, result)...)
 	case runner.Broken:
@@ -150,7 +159,7 @@
 	r.excludeUpstream(choice.ID)
 	switch {
 	case result.Reach == runner.Broken:
-		effects = append(effects, g.checkCrash(r, choice)...)
+		effects = append(effects, g.checkCrash(r, choice, r.sentAt, r.attemptEvents())...)
 		if r.events == 0 {
 			r.unusedHandle = source
 		}
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -11,6 +11,7 @@
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -107,4 +108,9 @@
 	SaveDemand(ctx context.Context, tallies map[directory.ServiceName]demand.Tally) error
 	// LoadDemand returns the demand that was stored last.
 	LoadDemand(ctx context.Context) (map[directory.ServiceName]demand.Tally, error)
+	// SaveBans stores the parts of prompts that crash engines, for processes that start
+	// when no other one runs.
+	SaveBans(ctx context.Context, bans []quarantine.BanNote) error
+	// LoadBans returns the bans that were stored last.
+	LoadBans(ctx context.Context) ([]quarantine.BanNote, error)
 }
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -37,6 +37,8 @@
 	// Suspects holds the sender's records of requests that crash upstreams, both
 	// suspects and quarantined ones.
 	Suspects []quarantine.Note
+	// PromptParts tells which parts of prompts crash engines.
+	PromptParts quarantine.PartNotes
 	// Demand is what the sender itself saw of the requests to each service's engines.
 	Demand map[directory.ServiceName]demand.Tally
 	// RoleOrders lists the orders that engines are carrying out or may still carry out.
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -130,8 +130,9 @@
 	Report(ctx context.Context, to Target) (Report, Result)
 	// SetRole orders an engine to change its role.
 	SetRole(ctx context.Context, to Target, order RoleOrder) Result
-	// Reachable opens and closes a connection; it returns nil if that succeeds.
-	Reachable(ctx context.Context, to Target) error
+	// Reachable opens and closes a connection. The result is Answered if that succeeds, else
+	// NotSent.
+	Reachable(ctx context.Context, to Target) Result
 }
 
 // Report is the role state that an engine reports. It is some hundred milliseconds
--- a/upstream/quarantine/notes.go
+++ b/upstream/quarantine/notes.go
@@ -18,6 +18,12 @@
 	return CrashID(xxhash.Sum64String(string(up) + "@" + strconv.FormatInt(now.UnixNano(), 10)))
 }
 
+// IncarnationCrash returns the ID of the crash that ended one incarnation of an upstream,
+// which is the same in all processes.
+func IncarnationCrash(up upstream.ID, born int64) CrashID {
+	return CrashID(xxhash.Sum64String(string(up) + "#" + strconv.FormatInt(born, 10)))
+}
+
 // Notes returns the notes to send with a message: records that changed within
 // Options.ShareFor, at most Options.MaxNotes of them, quarantined ones first, then
 // the latest changes.
--- a/upstream/quarantine/quarantine.go
+++ b/upstream/quarantine/quarantine.go
@@ -5,7 +5,9 @@
 // crash for other reasons. A suspect may run again, but not together with another
 // suspect, so that a second crash identifies the request that causes it.
 //
-// Sidecars record crashes; processes exchange what they know as notes. A Table has no
+// A PartTable does the same for the parts that prompts share.
+//
+// Sidecars and gateways record crashes; processes exchange what they know as notes. A Table has no
 // lock of its own: its users guard it with a lock of rank table.RankQuarantine.
 package quarantine
 
