Count a crash against a request only if the upstream refuses connections

A gateway that was cut off took every request it had running for one that crashes upstreams: the call broke, the check for a crash got no answer, and after the second engine the request was quarantined for ten minutes, at the other gateways too. Seen while looking for the causes of false quarantines in the incident of prompts that crash engines. A connection that is refused shows that the process is gone; one that is not answered may be a cut link. The upstream gets no work in either case. Sidecars tell the two apart already.

TestUnreachableUpstreamsAreNoCrash fails before (quarantined) and passes now.

--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -98,6 +98,9 @@
 		"account", r.accountID(), "route", r.route.Name, "fingerprint", r.fingerprint, "shared_parts", r.sharedParts,
 		"sent_ms", call.brokenAt.Sub(call.sentAt).Milliseconds(), "events", call.events, "refused", result.Refused, "error", result.Err)
 	g.metrics.recordCrash(begun)
+	if !result.Refused {
+		return nil
+	}
 	quarantined := false
 	g.suspects.With(h, func(t **quarantine.Table) {
 		quarantined = len((*t).RecordCrash(now, choice.ID, []contract.Fingerprint{r.fingerprint})) > 0
@@ -105,7 +108,7 @@
 	if quarantined {
 		g.log.Warn(string(eventQuarantined), "request", r.message.ID, "upstream", choice.ID)
 	}
-	if !result.Refused || begun || len(r.sharedParts) == 0 {
+	if begun || len(r.sharedParts) == 0 {
 		return nil
 	}
 	cut := quarantine.Cut{
--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -352,3 +352,20 @@
 		})
 	}
 }
+
+// TestUnreachableUpstreamsAreNoCrash guards against a gateway that is cut off and takes the
+// requests it had running for ones that crash upstreams.
+func TestUnreachableUpstreamsAreNoCrash(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.runners.silent = true
+		f.runners.unreachable["d1"], f.runners.unreachable["d2"] = true, true
+		for range 3 {
+			f.runners.queue("stream", broken, broken)
+			g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{})
+			time.Sleep(time.Second)
+		}
+		f.runners.setReachable()
+		time.Sleep(2 * time.Second)
+		checkRefusal(t, g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{}), "", contract.RanNo)
+	})
+}
