Do not quarantine streams that were cut with their answers under way

A request that crashes an engine does so as it begins; a crash later in the answer now counts half, so that one that crashes engines late is still found, after four.

--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -103,6 +103,10 @@
 	}
 	quarantined := false
 	g.suspects.With(h, func(t **quarantine.Table) {
+		if begun {
+			quarantined = (*t).RecordLateCrash(now, choice.ID, r.fingerprint)
+			return
+		}
 		quarantined = len((*t).RecordCrash(now, choice.ID, []contract.Fingerprint{r.fingerprint})) > 0
 	})
 	if quarantined {
--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -364,6 +364,23 @@
 			g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{})
 			time.Sleep(time.Second)
 		}
+		synctest.Wait()
+		f.runners.setReachable()
+		time.Sleep(2 * time.Second)
+		checkRefusal(t, g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{}), "", contract.RanNo)
+	})
+}
+
+// TestBystandersOfCrashesAreServed guards against the quarantine of requests whose answers
+// had begun when their engines crashed.
+func TestBystandersOfCrashesAreServed(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fleet, g *Gateway) {
+		f.runners.unreachable["d1"], f.runners.unreachable["d2"] = true, true
+		f.runners.queue("stream", brokenAfterTwo, answer{result: broken.result, events: 4})
+		if refusal := g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{}); refusal == nil {
+			t.Error("a stream that broke twice was answered")
+		}
+		synctest.Wait()
 		f.runners.setReachable()
 		time.Sleep(2 * time.Second)
 		checkRefusal(t, g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{}), "", contract.RanNo)
--- a/upstream/quarantine/quarantine.go
+++ b/upstream/quarantine/quarantine.go
@@ -63,6 +63,9 @@
 	// crashes lists the crashes at which the request was running, without the
 	// excused ones.
 	crashes []CrashID
+	// late lists crashes that cut the answer after it had begun, which most often have
+	// another cause.
+	late []CrashID
 	// excused lists crashes that the request is assumed not to have caused,
 	// because it completed after them.
 	excused     []CrashID
@@ -112,11 +115,24 @@
 	return quarantined
 }
 
-// updateQuarantine quarantines a record with at least 2 crashes and makes one with a single
-// crash a suspect. It reports whether the record was not quarantined before.
+// RecordLateCrash records a crash of an upstream that had begun the answer to a request. It
+// counts half of one recorded by RecordCrash. It reports whether it quarantines the request.
+func (t *Table) RecordLateCrash(now time.Time, up upstream.ID, fp contract.Fingerprint) bool {
+	r := t.ensureRecord(now, fp)
+	r.late = bounded(append(r.late, crashID(now, up)))
+	return t.updateQuarantine(now, r)
+}
+
+// isDeadly reports whether a record has enough crashes for a quarantine.
+func (r *record) isDeadly() bool {
+	return 2*len(r.crashes)+len(r.late) >= 4
+}
+
+// updateQuarantine quarantines a record with enough crashes and makes one with fewer a
+// suspect. It reports whether the record was not quarantined before.
 func (t *Table) updateQuarantine(now time.Time, r *record) bool {
 	r.changedAt = now
-	if len(r.crashes) < 2 {
+	if !r.isDeadly() {
 		r.until = later(r.until, now.Add(t.options.Suspicion))
 		return false
 	}
@@ -163,7 +179,7 @@
 		return
 	}
 	r.excused = bounded(append(r.excused, r.crashes...))
-	r.crashes = nil
+	r.crashes, r.late = nil, nil
 }
 
 // live returns the record of a fingerprint unless it has expired.
