Parts that are banned together must be in one request; a decision always ends

The set of parts that cut requests have in common tolerates a request without one of them. Taken part by part, a set could come out that no request has: such a ban refuses nothing, explains no crash, and the search for the next culprits found it again without end, with the table's lock held. Found by a mutation check of the tests. Parts are now added while enough of the requests have all of them, and the crashes of a culprit leave the search whatever its set.

Tests added with it, each for a mutant that survived: bans that are decided before peers had their say, a first event that leaves an engine as it crashes, the last part of a prompt.

--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -23,11 +23,16 @@
 // engineRestart is how long a crashed engine of crashingEngines is down.
 const engineRestart = 3 * time.Second
 
+// prefillTime is the time of a prefill of crashingEngines.
+const prefillTime = 20 * time.Millisecond
+
 // crashingEngines are decode engines that crash as they begin the answer to a prompt with
 // a deadly part, and break off all other streams then.
 type crashingEngines struct {
 	*fakeRunners
 	registry *fakeRegistry
+	// leaks is set if the first event leaves an engine as it crashes.
+	leaks bool
 	// firstEvent is the time to the first event, wholeAnswer that to the last one.
 	firstEvent, wholeAnswer time.Duration
 
@@ -109,6 +114,7 @@
 	if _, crashed := c.arrive(to, m); crashed == nil {
 		return runner.Handle{}, engineDown
 	}
+	time.Sleep(prefillTime)
 	return c.fakeRunners.Prefill(ctx, to, m, o)
 }
 
@@ -132,7 +138,7 @@
 			return runner.Answer{}, cut
 		case <-time.After(pause):
 		}
-		if isDeadly {
+		if isDeadly && (!c.leaks || id > 1) {
 			c.crash(to.ID)
 			return runner.Answer{}, cut
 		}
@@ -253,10 +259,13 @@
 	for _, c := range []struct {
 		name        string
 		deadlyEvery time.Duration
-	}{{"rare", 2 * time.Second}, {"common", 300 * time.Millisecond}, {"burst", 60 * time.Millisecond}} {
+		leaks       bool
+	}{{"rare", 2 * time.Second, false}, {"common", 300 * time.Millisecond, false}, {"burst", 60 * time.Millisecond, false},
+		{"with a first event", 300 * time.Millisecond, true}} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f, engines := crashingFleet(deadlyPart)
+				engines.leaks = c.leaks
 				var gateways []*Gateway
 				for _, name := range []string{"g1", "g2", "g3", "g4", "g5"} {
 					g := f.start(t, name, "g1")
--- a/upstream/quarantine/parts.go
+++ b/upstream/quarantine/parts.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -286,9 +287,10 @@
 // culprits are parts that explain crashes.
 type culprits struct {
 	parts []contract.PartID
-	// crashes counts the crashes, requests the requests that they cut.
-	crashes, requests int
-	lastCrash         time.Time
+	// crashes are those that they explain; requests counts the requests that these cut.
+	crashes   map[CrashID]bool
+	requests  int
+	lastCrash time.Time
 	// soundBefore is set if an answer began with all of them before the crashes.
 	soundBefore bool
 }
@@ -302,8 +304,8 @@
 		return true
 	case c.soundBefore != other.soundBefore:
 		return other.soundBefore
-	case c.crashes != other.crashes:
-		return c.crashes > other.crashes
+	case len(c.crashes) != len(other.crashes):
+		return len(c.crashes) > len(other.crashes)
 	case len(c.parts) != len(other.parts):
 		return len(c.parts) > len(other.parts)
 	default:
@@ -333,22 +335,10 @@
 			return all
 		}
 		all = append(all, likeliest)
-		explained := crashesWith(t.cuts, likeliest.parts)
 		for part, cuts := range cutsOf {
-			cutsOf[part] = slices.DeleteFunc(cuts, func(c Cut) bool { return explained[c.Crash] })
-		}
-	}
-}
-
-// crashesWith returns the crashes that cut a request with all of the parts.
-func crashesWith(cuts []Cut, parts []contract.PartID) map[CrashID]bool {
-	crashes := make(map[CrashID]bool)
-	for _, c := range cuts {
-		if containsAll(c.Parts, parts) {
-			crashes[c.Crash] = true
+			cutsOf[part] = slices.DeleteFunc(cuts, func(c Cut) bool { return likeliest.crashes[c.Crash] })
 		}
 	}
-	return crashes
 }
 
 // Suspects reports whether some of the parts are about to be banned: one more crash would
@@ -379,17 +369,17 @@
 		return culprits{}, false
 	}
 	requests := make(map[contract.Fingerprint]bool)
-	crashes := make(map[CrashID]bool)
+	found.crashes = make(map[CrashID]bool)
 	for _, c := range cuts {
 		requests[c.Request] = true
-		crashes[c.Crash] = true
+		found.crashes[c.Crash] = true
 		found.lastCrash = later(found.lastCrash, c.At)
 	}
 	if len(requests) < requestsToBan {
 		return culprits{}, false
 	}
 	found.parts = t.commonParts(part, cuts)
-	found.crashes, found.requests = len(crashes), len(requests)
+	found.requests = len(requests)
 	found.soundBefore = t.soundBefore(found.parts)
 	return found, true
 }
@@ -428,26 +418,28 @@
 // commonParts returns a part and those that cut requests with it have in common, without
 // those that an answer began with since. Fewer than crashesToWiden crashes without a part do
 // not remove it, as they may be a coincidence, unless an answer began with it before.
-func (t *PartTable) commonParts(part contract.PartID, cuts []Cut) (common []contract.PartID) {
-	candidates := make(map[contract.PartID]bool)
+func (t *PartTable) commonParts(part contract.PartID, cuts []Cut) []contract.PartID {
+	counts := make(map[contract.PartID]int)
 	for _, c := range cuts {
 		for _, p := range c.Parts {
-			candidates[p] = candidates[p] || c.At.After(t.lastSound(p))
-		}
-	}
-	for candidate, suspicious := range candidates {
-		var without []Cut
-		for _, c := range cuts {
-			if !containsAll(c.Parts, []contract.PartID{candidate}) {
-				without = append(without, c)
+			if p != part && c.At.After(t.lastSound(p)) {
+				counts[p]++
 			}
 		}
+	}
+	candidates := slices.SortedFunc(maps.Keys(counts), func(a, b contract.PartID) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	common := []contract.PartID{part}
+	for _, candidate := range candidates {
 		tolerated := crashesToWiden
 		if !t.lastSound(candidate).IsZero() {
 			tolerated = 1
 		}
-		if candidate == part || suspicious && crashesInSuccession(without) < tolerated {
-			common = append(common, candidate)
+		with := append(slices.Clone(common), candidate)
+		without := slices.DeleteFunc(slices.Clone(cuts), func(c Cut) bool { return containsAll(c.Parts, with) })
+		if crashesInSuccession(without) < tolerated {
+			common = with
 		}
 	}
 	slices.Sort(common)
--- a/upstream/quarantine/parts_test.go
+++ b/upstream/quarantine/parts_test.go
@@ -160,6 +160,12 @@
 			}
 			cut(q, 5, 5, 5, other, deadly)
 		}, "[1 d]"},
+		{"parts that no request has all of", func(q *PartTable) {
+			cut(q, 1, 1, 1, 1, 2, 3, 9)
+			cut(q, 2, 2, 2, 1, 2, 4, 9)
+			cut(q, 3, 3, 3, 1, 3, 4, 9)
+			cut(q, 4, 4, 4, 2, 3, 4, 9)
+		}, "[1 9]"},
 		{"requests without shared parts", func(q *PartTable) {
 			for i := range 9 {
 				cut(q, float64(i), CrashID(i), contract.Fingerprint(i))
@@ -184,6 +190,24 @@
 	}
 }
 
+// TestSettling guards against bans that are decided before other processes told what they
+// saw of the crashes.
+func TestSettling(t *testing.T) {
+	q, peer := NewPartTable(), NewPartTable()
+	for i := range 3 {
+		q.RecordCut(at(i), cutAt(float64(i), CrashID(i), contract.Fingerprint(i), other))
+		peer.RecordCut(at(i), cutAt(float64(i), CrashID(i), contract.Fingerprint(10+i), first, deadly))
+	}
+	if got := q.Decide(at(2).Add(settleFor / 2)); len(got) > 0 {
+		t.Errorf("banned %v at once", got)
+	}
+	q.Merge(at(2).Add(settleFor/2), peer.Notes(at(2).Add(settleFor/2)))
+	q.Decide(at(4))
+	if got := bansOf(q); got != "[1 d]" {
+		t.Errorf("banned %q after the notes of another process", got)
+	}
+}
+
 // banned returns a table that has banned the deadly part at 5 s.
 func banned(t *testing.T) *PartTable {
 	t.Helper()
