Send a request with suspicious parts to no second engine

A request that crashed an engine was sent to the next one at once, before the check for the crash had ended, also when others with the same part had crashed theirs: each cost two engines while a ban was being decided. If some of its parts need two crashes or fewer for a ban, the check comes first, and if one more would do the request fails instead of costing another engine. Requests that only happened to be cut with parts that are known to be sound go on as before.

TestSuspiciousRequestIsNotSentAgain: 6 engines for three requests before, 4 now.

--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -86,7 +86,7 @@
 	}
 	g.logAttempt(r, "call", choice, result)
 	if result.Reach == runner.Broken && !ended {
-		effects = append(effects, g.checkCrash(r, choice, r.placedAt, 0)...)
+		effects = append(effects, g.checkCrash(r, brokenCall{choice, r.placedAt, g.clock.Now(), 0})...)
 	}
 	if !ended {
 		r.excludeUpstream(choice.ID)
--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -40,7 +40,7 @@
 		return refusal
 	}
 	suspicious := false
-	g.promptParts.With(h, func(t **quarantine.PartTable) { suspicious = (*t).Suspects(r.sharedParts) })
+	g.promptParts.With(h, func(t **quarantine.PartTable) { suspicious = (*t).Suspects(r.sharedParts, r.fingerprint) })
 	if !suspicious {
 		return nil
 	}
@@ -74,22 +74,43 @@
 // checkCrash makes an effect that checks whether an upstream that broke off a call has
 // crashed: a single reset connection does not show that, but a new one that is refused
 // does. An upstream that cannot be reached may as well be cut off.
-func (g *Gateway) checkCrash(r *request, choice roster.Choice, sentAt time.Time, events int) []pool.Effect {
-	call := brokenCall{choice, sentAt, g.clock.Now(), events}
+func (g *Gateway) checkCrash(r *request, call brokenCall) []pool.Effect {
 	return []pool.Effect{{Lane: laneCleanup, Perform: func(ctx context.Context) pool.Step {
-		ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
-		defer cancel()
-		result := g.runners.Reachable(ctx, choice.Target)
-		if result.Reach == runner.Answered {
-			return nil
-		}
-		return func(h *table.HeldLocks) []pool.Effect { return g.recordCrash(h, r, call, result) }
+		return g.askForCrash(ctx, r, call)
 	}}}
 }
 
+// checkCrashThen is checkCrash for a request that goes on with next after it.
+func (g *Gateway) checkCrashThen(r *request, call brokenCall, next pool.Step) []pool.Effect {
+	return g.requestEffect(r, func() pool.Step {
+		record := g.askForCrash(r.ctx, r, call)
+		return func(h *table.HeldLocks) []pool.Effect {
+			if record != nil {
+				record(h)
+			}
+			return next(h)
+		}
+	})
+}
+
+// askForCrash opens a connection to an upstream. It returns a step that records its crash,
+// nil if it is up.
+func (g *Gateway) askForCrash(ctx context.Context, r *request, call brokenCall) pool.Step {
+	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
+	defer cancel()
+	result := g.runners.Reachable(ctx, call.choice.Target)
+	if result.Reach == runner.Answered {
+		return nil
+	}
+	return func(h *table.HeldLocks) []pool.Effect {
+		g.recordCrash(h, r, call, result)
+		return nil
+	}
+}
+
 // recordCrash marks the upstream down and, if it crashed, counts that against the request
 // that it was running and the parts of its prompt.
-func (g *Gateway) recordCrash(h *table.HeldLocks, r *request, call brokenCall, result runner.Result) []pool.Effect {
+func (g *Gateway) recordCrash(h *table.HeldLocks, r *request, call brokenCall, result runner.Result) {
 	now := g.clock.Now()
 	choice := call.choice
 	begun := call.events >= begunEvents
@@ -99,7 +120,7 @@
 		"sent_ms", call.brokenAt.Sub(call.sentAt).Milliseconds(), "events", call.events, "refused", result.Refused, "error", result.Err)
 	g.metrics.recordCrash(begun)
 	if !result.Refused {
-		return nil
+		return
 	}
 	quarantined := false
 	g.suspects.With(h, func(t **quarantine.Table) {
@@ -113,7 +134,7 @@
 		g.log.Warn(string(eventQuarantined), "request", r.message.ID, "upstream", choice.ID)
 	}
 	if begun || len(r.sharedParts) == 0 {
-		return nil
+		return
 	}
 	cut := quarantine.Cut{
 		Crash: quarantine.IncarnationCrash(choice.ID, choice.Born), Request: r.fingerprint, Parts: r.sharedParts,
@@ -121,5 +142,4 @@
 	}
 	g.ifLive(h, r, func() { r.crashedUpstream = true })
 	g.promptParts.With(h, func(t **quarantine.PartTable) { (*t).RecordCut(now, cut) })
-	return nil
 }
--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -395,3 +395,23 @@
 		checkRefusal(t, g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{}), "", contract.RanNo)
 	})
 }
+
+// TestSuspiciousRequestIsNotSentAgain guards against a request that costs a second engine
+// although earlier ones with the same part cost theirs.
+func TestSuspiciousRequestIsNotSentAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, engines := crashingFleet(deadlyPart)
+		g := f.start(t, "g1")
+		defer g.Close()
+		time.Sleep(2 * time.Second)
+		for n := range 3 {
+			g.Forward(context.Background(), promptOf(n, firstPart, deadlyPart), &callerSink{})
+		}
+		// Only the first one may be sent twice: nothing is known of its parts.
+		if len(engines.crashes) > 4 {
+			t.Errorf("%d engines crashed by three requests in succession", len(engines.crashes))
+		}
+		checkRefusal(t, g.Forward(context.Background(), promptOf(9, firstPart), &callerSink{}), "", contract.RanNo)
+		time.Sleep(engineRestart)
+	})
+}
--- a/instance/gateway/prefill.go
+++ b/instance/gateway/prefill.go
@@ -98,7 +98,7 @@
 	}
 	effects := g.placeNextWaiter(h, r.service)
 	if result.Reach == runner.Broken && !ended {
-		effects = append(effects, g.checkCrash(r, choice, r.prefillAt, 0)...)
+		effects = append(effects, g.checkCrash(r, brokenCall{choice, r.prefillAt, now, 0})...)
 	}
 	return append(effects, g.prefill(h, r)...)
 }
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
+	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
 
@@ -157,12 +158,20 @@
 		return append(effects, g.finish(h, r, refusal)...)
 	}
 	r.excludeUpstream(choice.ID)
+	resendOrFinish := func(h *table.HeldLocks) []pool.Effect { return g.resendOrFinish(h, r, result) }
 	switch {
 	case result.Reach == runner.Broken:
-		effects = append(effects, g.checkCrash(r, choice, r.sentAt, r.attemptEvents())...)
 		if r.events == 0 {
 			r.unusedHandle = source
 		}
+		call := brokenCall{choice, r.sentAt, now, r.attemptEvents()}
+		mayBeSuspect := false
+		g.promptParts.With(h, func(t **quarantine.PartTable) { mayBeSuspect = (*t).MayBecomeSuspect(r.sharedParts, r.fingerprint) })
+		if call.events < begunEvents && mayBeSuspect {
+			// Whether it is worth another engine depends on whether this one crashed.
+			return append(effects, g.checkCrashThen(r, call, resendOrFinish)...)
+		}
+		effects = append(effects, g.checkCrash(r, call)...)
 	case result.Reach == runner.NotSent || result.Misdirected:
 		r.unusedHandle = source
 	case result.Reach == runner.Rejected && source.ID != "" && !handleReused:
@@ -175,12 +184,18 @@
 		})
 		r.excludeUpstream(r.prefilledBy.ID)
 	}
+	return append(effects, resendOrFinish(h)...)
+}
+
+// resendOrFinish sends a request to another upstream, or ends it after a failure.
+func (g *Gateway) resendOrFinish(h *table.HeldLocks, r *request, result runner.Result) []pool.Effect {
+	now := g.clock.Now()
 	if g.mayResend(h, r, result) {
 		g.flushAndLogEvent(r, eventRetried, "attempts", r.attempts, "after_event", r.lastEventID,
 			"slack_ms", r.slack(now).Milliseconds(), "left_ms", r.timeLeft(now).Milliseconds())
-		return append(effects, g.resend(h, r)...)
+		return g.resend(h, r)
 	}
-	return append(effects, g.finish(h, r, g.failureRefusal(r, result))...)
+	return g.finish(h, r, g.failureRefusal(r, result))
 }
 
 // recordResult reports the result of an attempt to the board. A failure after the
--- a/upstream/quarantine/parts.go
+++ b/upstream/quarantine/parts.go
@@ -341,30 +341,45 @@
 	}
 }
 
-// Suspects reports whether some of the parts are about to be banned: one more crash would
-// do, or time for other processes to tell of theirs. A request with such parts that was cut
-// is not worth another engine.
-func (t *PartTable) Suspects(parts []contract.PartID) bool {
+// MayBecomeSuspect reports whether Suspects may be true after one more crash.
+func (t *PartTable) MayBecomeSuspect(parts []contract.PartID, request contract.Fingerprint) bool {
+	return t.isMissing(parts, request, 2)
+}
+
+// Suspects reports whether one more crash would ban some of the parts. A request that
+// crashed an engine is then not worth another one. Crashes of the given request alone do
+// not count.
+func (t *PartTable) Suspects(parts []contract.PartID, request contract.Fingerprint) bool {
+	return t.isMissing(parts, request, 1)
+}
+
+// isMissing reports whether a part needs at most that many more crashes to be banned.
+func (t *PartTable) isMissing(parts []contract.PartID, request contract.Fingerprint, most int) bool {
 	return slices.ContainsFunc(parts, func(part contract.PartID) bool {
 		var cuts []Cut
-		requests := make(map[contract.Fingerprint]bool)
+		others := false
 		for _, c := range t.cuts {
 			if containsAll(c.Parts, []contract.PartID{part}) && c.At.After(t.lastSound(part)) {
 				cuts = append(cuts, c)
-				requests[c.Request] = true
+				others = others || c.Request != request
 			}
 		}
-		return len(requests) >= requestsToBan && crashesInSuccession(cuts) >= crashesToBan-1
+		return others && crashesInSuccession(cuts)+most >= t.crashesNeeded(part)
 	})
 }
 
+// crashesNeeded is the number of crashes in succession that ban a part.
+func (t *PartTable) crashesNeeded(part contract.PartID) int {
+	if t.lastSound(part).IsZero() {
+		return crashesToBan
+	}
+	return crashesToBanSound
+}
+
 // judge returns what the cut requests with a part have in common. ok is false if there are
 // too few of them to ban it.
 func (t *PartTable) judge(part contract.PartID, cuts []Cut) (found culprits, ok bool) {
-	needed := crashesToBanSound
-	if t.lastSound(part).IsZero() {
-		needed = crashesToBan
-	}
+	needed := t.crashesNeeded(part)
 	if len(cuts) < needed || crashesInSuccession(cuts) < needed {
 		return culprits{}, false
 	}
