The check for a crash does not end with the caller's request

A caller that left while its request waited for the check would have had the upstream marked down. Found by reading the code; nothing was seen of it.

--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -83,7 +83,7 @@
 // checkCrashThen is checkCrash for a request that goes on with next after it.
 func (g *Gateway) checkCrashThen(r *request, call brokenCall, next pool.Step) []pool.Effect {
 	return g.requestEffect(r, func() pool.Step {
-		record := g.askForCrash(r.ctx, r, call)
+		record := g.askForCrash(g.ctx, r, call)
 		return func(h *table.HeldLocks) []pool.Effect {
 			if record != nil {
 				record(h)
