Log and count what upstreams say beside their answers: leaving, a pause

An answer of a runner may say that it leaves (Server-Leaving: 1), and one with status 503 how long it wants no requests (Retry-After). Neither was read. No decision uses them yet.

--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -37,6 +37,8 @@
 	eventPeerLost     logMessage = "peer_lost"
 	eventPeerBack     logMessage = "peer_back"
 	eventQuarantined  logMessage = "request_quarantined"
+	// eventNotice: an answer of an upstream says that it leaves or asks for a pause.
+	eventNotice logMessage = "upstream_notice"
 	// eventPartsBanned: prompts with all of these parts are refused, since they crash
 	// engines.
 	eventPartsBanned logMessage = "prompt_parts_banned"
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -66,6 +66,13 @@
 	unreachable map[upstream.ID]bool
 	silent      bool
 	held        int
+	observe     func(runner.Target, runner.Notice)
+}
+
+func (f *fakeRunners) Observe(observe func(runner.Target, runner.Notice)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.observe = observe
 }
 
 func newFakeRunners() *fakeRunners {
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -185,6 +185,7 @@
 			g.log.Error("a step panicked", "reason", reason, "stack", string(stack))
 		},
 	})
+	g.runners.Observe(g.observeNotice)
 	g.startBackground()
 	return g
 }
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/trefoilwalk/trefoilwalk/contract"
 	"github.com/trefoilwalk/trefoilwalk/contract/burn"
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
+	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 )
 
@@ -87,6 +88,24 @@
 	phases         map[string]*Histogram
 	serviceLevels  *burn.Recorder
 	crashes        CrashCounts
+	notices        NoticeCounts
+}
+
+// NoticeCounts counts the answers of upstreams that said that they leave, and those that
+// asked for a pause.
+type NoticeCounts struct {
+	Leaving, Pause uint64
+}
+
+func (m *Metrics) recordNotice(n runner.Notice) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n.Leaving {
+		m.notices.Leaving++
+	}
+	if n.Pause > 0 {
+		m.notices.Pause++
+	}
 }
 
 // CrashCounts counts the calls that broke off at a crash of their upstream: those that had
@@ -227,6 +246,7 @@
 	FailedAttempts map[AttemptKey]uint64
 	Phases         map[string]Histogram
 	Crashes        CrashCounts
+	Notices        NoticeCounts
 	// ServiceLevels are the service levels by route, over several windows.
 	ServiceLevels burn.Snapshot
 }
@@ -245,6 +265,7 @@
 		FailedAttempts: maps.Clone(m.failedAttempts),
 		Phases:         cloneHistograms(m.phases),
 		Crashes:        m.crashes,
+		Notices:        m.notices,
 		ServiceLevels:  m.serviceLevels.Snapshot(now, ""),
 	}
 }
--- a/link/runner/runner.go
+++ b/link/runner/runner.go
@@ -16,6 +16,16 @@
 type Target struct {
 	ID   upstream.ID
 	Addr string
+	// Born is the incarnation of its registration, see registry.Record; 0 if unknown.
+	Born int64
+}
+
+// Notice is what an upstream says of itself beside an answer.
+type Notice struct {
+	// Leaving means that it is about to shut down.
+	Leaving bool
+	// Pause is how long it wants no requests, after it turned one away; 0 for no wish.
+	Pause time.Duration
 }
 
 // Reach is how far a call got, which decides whether it may be repeated.
@@ -113,6 +123,9 @@
 // Client makes calls to upstreams. Each method returns when its call has ended. When
 // ctx ends, the connection is closed, and the upstream then drops the work.
 type Client interface {
+	// Observe sets the function that is called with each notice of an upstream, on the
+	// goroutine of the call. It is called before the other methods.
+	Observe(func(from Target, n Notice))
 	// Reserve reserves a slot and memory for a later message, for the time ttl.
 	Reserve(ctx context.Context, to Target, tokens contract.Tokens, ttl time.Duration) (id string, result Result)
 	// Release ends a reservation that will not be used.
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -24,11 +24,9 @@
 }
 
 // Choice is a candidate upstream, with a copy of its state at the time of the decision.
-// Born is the incarnation of its registration, see registry.Record.
 type Choice struct {
 	runner.Target
 	Zone zone.AvailabilityZone
-	Born int64
 	// Calls and Tokens are the work that this process had running there.
 	Calls  int
 	Tokens contract.Tokens
@@ -74,7 +72,7 @@
 	choices := make([]Choice, len(list))
 	for i, s := range list {
 		u := s.upstream
-		choices[i] = Choice{runner.Target{ID: u.ID, Addr: u.Addr}, u.Zone, u.Born, u.calls, u.tokens}
+		choices[i] = Choice{runner.Target{ID: u.ID, Addr: u.Addr, Born: u.Born}, u.Zone, u.calls, u.tokens}
 	}
 	return choices
 }
