Keep to what upstreams say: one that leaves gets no new work, one that pauses none

A gateway learned that an upstream leaves only from the list of the registry, and an older list, a reread or a relayed one undid it. A Retry-After of an upstream was not read: one that turned a request away was merely ranked behind the others for 60 ms.

upstream/notice holds both for each incarnation of an upstream. Leaving comes from the list, from any answer and from peers, and is never taken back; the next incarnation starts clean, and a late answer of the former one does not touch it. A pause is between an upstream and one gateway; the longest one counts, up to five minutes. Placement, retries and prefills leave such upstreams out, a stream whose engine asked for a pause after the reservation moves to another one with its KV cache, role plans leave out those that leave. If all pause, requests are refused at once, to come back after the first end, spread over half of the time to it.

Mutants that the tests catch: the belief steps back, a draining state is taken back, a pause is forgotten on a retry, a stream is sent after a pause, peers are not told, incarnations are mixed, all callers come back at once.

--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -37,7 +37,7 @@
 	eventPeerLost     logMessage = "peer_lost"
 	eventPeerBack     logMessage = "peer_back"
 	eventQuarantined  logMessage = "request_quarantined"
-	// eventNotice: an answer of an upstream says that it leaves or asks for a pause.
+	// eventNotice: an upstream says that it leaves, or asks for a longer pause than before.
 	eventNotice logMessage = "upstream_notice"
 	// eventPartsBanned: prompts with all of these parts are refused, since they crash
 	// engines.
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -278,7 +278,10 @@
 	g.demand.With(h, func(l **demand.Ledger) { m.Demand = (*l).Own(now) })
 	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
 	g.promptParts.With(h, func(t **quarantine.PartTable) { m.PromptParts = (*t).Notes(now) })
-	g.board.With(h, func(b **roster.Board) { m.RoleOrders = (*b).RoleOrders(now) })
+	g.board.With(h, func(b **roster.Board) {
+		m.RoleOrders = (*b).RoleOrders(now)
+		m.Leaving = (*b).LeavingNotes(now)
+	})
 	return m
 }
 
@@ -339,6 +342,7 @@
 	if len(m.Suspects) > 0 {
 		g.suspects.With(h, func(t **quarantine.Table) { (*t).MergeNotes(now, m.Suspects) })
 	}
+	g.applyLeaving(h, m)
 	g.applyPartNotes(h, m.PromptParts, string(m.From.Name))
 }
 
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -195,7 +195,7 @@
 		return nil
 	}
 	g.board.With(h, func(b **roster.Board) { (*b).RemoveCall(*assigned, heldTokens) })
-	if reservation == "" {
+	if reservation == "" || g.paused(h, g.clock.Now(), assigned.Target) {
 		return nil
 	}
 	return []pool.Effect{g.cleanup(func(ctx context.Context) runner.Result {
--- a/instance/gateway/reserve.go
+++ b/instance/gateway/reserve.go
@@ -52,6 +52,9 @@
 		choices = choices[:MaxReserveAttempts]
 	}
 	if len(choices) == 0 {
+		if refusal := g.refusePaused(h, now, r, upstream.RoleDecode); refusal != nil && r.events == 0 {
+			return append(g.endPlacement(h, r, true), g.finish(h, r, refusal)...)
+		}
 		r.excluded = nil
 		return append(g.endPlacement(h, r, false), g.enqueue(h, r, waitRoom)...)
 	}
--- a/instance/gateway/status.go
+++ b/instance/gateway/status.go
@@ -21,6 +21,9 @@
 	// Gateways counts the live gateways, including this one; Upstreams those that
 	// accept requests or drain.
 	Gateways, Upstreams int
+	// Leaving counts the upstreams that said that they leave, Paused those that want no
+	// requests now.
+	Leaving, Paused int
 	// ConfigAge is the time since the configuration was last known to be the
 	// newest, or minus one second if none is known.
 	ConfigAge time.Duration
@@ -79,7 +82,10 @@
 			s.Waiting += len(l.queue)
 		}
 	})
-	g.board.With(h, func(b **roster.Board) { s.Upstreams = (*b).Len() })
+	g.board.With(h, func(b **roster.Board) {
+		s.Upstreams = (*b).Len()
+		s.Leaving, s.Paused = (*b).NoticeCount(now)
+	})
 	s.Engines = g.engineStatus(h, now)
 	return s
 }
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -25,6 +25,11 @@
 	}
 	now := g.clock.Now()
 	choice := *r.assigned
+	if g.paused(h, now, choice.Target) {
+		// It asked for a pause after the reservation.
+		r.unusedHandle = source
+		return append(g.releasePlace(h, r), g.resend(h, r)...)
+	}
 	options := r.options(now)
 	options.Source = source
 	// The request consumes its reservation at the engine.
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -12,6 +12,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
+	"github.com/trefoilwalk/trefoilwalk/upstream/notice"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 )
@@ -43,6 +44,8 @@
 	Demand map[directory.ServiceName]demand.Tally
 	// RoleOrders lists the orders that engines are carrying out or may still carry out.
 	RoleOrders []roster.RoleOrder
+	// Leaving lists upstreams that said that they leave.
+	Leaving []notice.Note
 	// Known lists some of the gateways that the sender considers alive.
 	Known []Peer
 	// Away means that the sender cannot read the registry and asks for the list
--- a/upstream/roster/choose.go
+++ b/upstream/roster/choose.go
@@ -50,15 +50,15 @@
 }
 
 // Choose returns the upstreams to try, best first. Full and ejected ones come last, since
-// their state may be out of date. Draining, down, role-changing and excluded ones are
-// left out.
+// their state may be out of date. Leaving, paused, down, role-changing and excluded
+// ones are left out.
 func (b *Board) Choose(now time.Time, need Need) []Choice {
 	if need.Role == upstream.RolePrefill && b.spillToAnyZone(need) {
 		need.Near = ""
 	}
 	var list []scored
 	for _, u := range b.upstreams {
-		if u.Service != need.Service || u.Role != need.Role || u.Draining {
+		if u.Service != need.Service || u.Role != need.Role || b.isLeaving(u) || b.notices.PauseLeft(now, incarnation(u.Record)) > 0 {
 			continue
 		}
 		if now.Before(u.downUntil) || now.Before(u.roleChangeUntil) || slices.Contains(need.Exclude, u.ID) {
@@ -90,7 +90,7 @@
 func (b *Board) spillToAnyZone(need Need) bool {
 	var prefill, decode, nearPrefill, nearDecode float64
 	for _, u := range b.upstreams {
-		if u.Service != need.Service || u.Draining {
+		if u.Service != need.Service || b.isLeaving(u) {
 			continue
 		}
 		near := 0.0
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/runner"
 	"github.com/trefoilwalk/trefoilwalk/upstream"
 	"github.com/trefoilwalk/trefoilwalk/upstream/health"
+	"github.com/trefoilwalk/trefoilwalk/upstream/notice"
 	"github.com/trefoilwalk/trefoilwalk/upstream/split"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
@@ -86,6 +87,7 @@
 	place     zone.Place
 	upstreams map[upstream.ID]*Upstream
 	groups    map[groupKey]*health.Group
+	notices   *notice.Book
 	// registryDown is set while the registry cannot be read; registryBackAt is when its
 	// last outage ended.
 	registryDown   bool
@@ -102,6 +104,7 @@
 		place:        place,
 		upstreams:    make(map[upstream.ID]*Upstream),
 		groups:       make(map[groupKey]*health.Group),
+		notices:      notice.NewBook(),
 		backlogShare: 1,
 	}
 }
@@ -138,6 +141,9 @@
 	present := make(map[upstream.ID]bool, len(change.Present))
 	for _, record := range change.Present {
 		present[record.ID] = true
+		if record.Draining {
+			b.notices.RecordLeaving(now, incarnation(record))
+		}
 		changes = b.upsert(record, changes)
 	}
 	for _, id := range change.Gone {
@@ -208,7 +214,7 @@
 	if !ok {
 		return changes
 	}
-	if !u.Draining && (b.registryDown || now.Before(b.registryBackAt.Add(LapseDetectionWindow))) {
+	if !b.isLeaving(u) && (b.registryDown || now.Before(b.registryBackAt.Add(LapseDetectionWindow))) {
 		if u.lapsedAt.IsZero() {
 			u.lapsedAt = now
 			changes = append(changes, Change{id, "lapsed", u.Addr, u.Role})
@@ -224,9 +230,13 @@
 	return append(changes, Change{u.ID, "gone", u.Addr, u.Role})
 }
 
-// Expire removes the lapsed upstreams that have not registered again within LapseGrace of
-// the end of the registry outage.
+// Expire removes old notices, and the lapsed upstreams that have not registered again within
+// LapseGrace of the end of the registry outage.
 func (b *Board) Expire(now time.Time) []Change {
+	b.notices.Expire(now, func(of notice.Incarnation) bool {
+		u, ok := b.upstreams[of.ID]
+		return ok && u.Born == of.Born
+	})
 	if b.registryDown || now.Before(b.registryBackAt.Add(LapseGrace)) {
 		return nil
 	}
@@ -261,7 +271,7 @@
 func (b *Board) Engines(now time.Time, service directory.ServiceName) []split.Engine {
 	var out []split.Engine
 	for _, u := range b.upstreams {
-		if u.Service != service || u.Role == upstream.RoleService || u.Draining || !u.lapsedAt.IsZero() {
+		if u.Service != service || u.Role == upstream.RoleService || b.isLeaving(u) || !u.lapsedAt.IsZero() {
 			continue
 		}
 		e := split.Engine{ID: u.ID, Addr: u.Addr, Zone: u.Zone, Role: u.Role}
