Soak: runners that leave and that ask for a pause, also wrongly; both checked from what they see

Stand-ins say in all answers that they leave, take it back, ask for pauses of up to 3 s or of an hour, and start again under another identifier. The run checks that no request that a caller sent later than 2 s after its gateway passed on that a runner leaves reaches it, and that at most two reach it in a pause that it asked that gateway for.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -31,8 +31,10 @@
 // sentRequest is a request that was sent and the HTTP status of its answer; 0 if there is
 // none.
 type sentRequest struct {
-	kind   kind
-	status int
+	kind    kind
+	gateway *process
+	sentAt  time.Time
+	status  int
 }
 
 const (
@@ -96,17 +98,19 @@
 func (s *soak) ask(ctx context.Context, client *http.Client, g *process, k kind, caller string) bool {
 	s.mu.Lock()
 	id := fmt.Sprintf("%s-%d", caller, len(s.requests))
-	s.requests[id] = sentRequest{kind: k}
+	s.requests[id] = sentRequest{kind: k, gateway: g, sentAt: time.Now()}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	status, body, err := send(ctx, client, g.callersAddr, k, id, key)
+	status, body, err := send(ctx, client, g.callersAddr, k, id, key, func(h http.Header) { s.recordLeaving(g, h) })
 	outcome := strconv.Itoa(status)
 	if err != nil {
 		outcome += " broken"
 	}
 	s.mu.Lock()
-	s.requests[id] = sentRequest{k, status}
+	sent := s.requests[id]
+	sent.status = status
+	s.requests[id] = sent
 	s.report.Outcomes[k.name+" "+outcome]++
 	s.mu.Unlock()
 	if status != http.StatusOK || err != nil {
@@ -139,8 +143,9 @@
 }
 
 // send sends one request. It returns the status, 0 without an answer, and the body as
-// far as it arrived. The Tenant header that it sets must not reach an upstream.
-func send(ctx context.Context, client *http.Client, addr string, k kind, id, credential string) (int, string, error) {
+// far as it arrived. onHeader is called with the header of the answer. The Tenant header that
+// it sets must not reach an upstream.
+func send(ctx context.Context, client *http.Client, addr string, k kind, id, credential string, onHeader func(http.Header)) (int, string, error) {
 	q, err := http.NewRequestWithContext(ctx, k.method, "http://"+addr+"/"+k.name+"/x", strings.NewReader(bodyOf(k, id)))
 	if err != nil {
 		return 0, "", err
@@ -161,6 +166,7 @@
 		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	onHeader(resp.Header)
 	body, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, string(body), err
 }
@@ -175,7 +181,7 @@
 	end := time.Now().Add(s.options.RecoverWithin)
 	for i, g := range s.gateways {
 		for {
-			status, _, err := send(ctx, http.DefaultClient, g.callersAddr, kinds[1], fmt.Sprintf("key-%d", i), secondKey)
+			status, _, err := send(ctx, http.DefaultClient, g.callersAddr, kinds[1], fmt.Sprintf("key-%d", i), secondKey, func(http.Header) {})
 			if status == want && err == nil {
 				break
 			}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,21 @@
 	command *exec.Cmd
 	ended   chan struct{}
 	closed  bool
+	// disturbed lists when the process was started, signaled to end, paused or resumed.
+	disturbed []time.Time
+}
+
+// recordDisturbance requires that mu is held.
+func (p *process) recordDisturbance() {
+	p.disturbed = append(p.disturbed, time.Now())
+}
+
+// disturbedBetween reports whether the process was started, signaled to end, paused or
+// resumed in a span.
+func (p *process) disturbedBetween(from, to time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.disturbed, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
 // newProcess writes the settings of a gateway and does not start it. Its peers are
@@ -129,6 +145,7 @@
 		_ = out.Close()
 		return err
 	}
+	p.recordDisturbance()
 	ended := make(chan struct{})
 	p.command, p.ended = command, ended
 	go func() {
@@ -144,6 +161,9 @@
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s != syscall.SIGHUP {
+		p.recordDisturbance()
+	}
 	if p.command != nil {
 		_ = p.command.Process.Signal(s)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -65,15 +65,31 @@
 	// mu guards requests and, while callers run, the outcomes and failed checks in report.
 	mu     sync.Mutex
 	report Report
+	// leaving holds when a caller first got an answer, through a gateway, of a runner that
+	// leaves.
+	leaving map[passedOn]time.Time
 	// requests holds all requests that were sent, by identifier.
 	requests map[string]sentRequest
 }
 
-// runnerNode holds a runner, the proxy in front of it, and its registered identifier.
+// runnerNode holds a runner, the proxy in front of it, its phase and its registered
+// identifier.
 type runnerNode struct {
 	runner     *userplatform.Runner
 	frontProxy *proxy
-	id         string
+	id, phase  string
+	// starts counts the starts of the runner. mustRestart is set once it said something
+	// that only its next start ends: that it leaves, or a pause of an hour.
+	starts      int
+	mustRestart bool
+	// disturbed lists when faults of its link began or ended.
+	disturbed []time.Time
+}
+
+// link returns the proxy for a change of the runner's link.
+func (r *runnerNode) link() *proxy {
+	r.disturbed = append(r.disturbed, time.Now())
+	return r.frontProxy
 }
 
 const (
@@ -97,6 +113,7 @@
 		ledger:   userplatform.NewLedger(),
 		report:   Report{Seed: o.Seed, Outcomes: make(map[string]int), Broken: []string{}},
 		requests: make(map[string]sentRequest),
+		leaving:  make(map[passedOn]time.Time),
 	}
 	defer s.end()
 	if err := s.start(); err != nil {
@@ -124,6 +141,7 @@
 		s.checkKeys(ctx)
 	}
 	s.check()
+	s.checkNotices()
 	s.checkMemory()
 	return s.report, nil
 }
@@ -150,8 +168,8 @@
 		if err != nil {
 			return err
 		}
-		s.runners = append(s.runners, &runnerNode{r, via, id})
-		if err := s.register(s.runners[i], phase); err != nil {
+		s.runners = append(s.runners, &runnerNode{runner: r, frontProxy: via, id: id, phase: phase, starts: 1})
+		if err := s.register(s.runners[i]); err != nil {
 			return err
 		}
 	}
@@ -171,13 +189,13 @@
 	return nil
 }
 
-func (s *soak) register(r *runnerNode, phase string) error {
+func (s *soak) register(r *runnerNode) error {
 	service := "engines"
-	if phase == "" {
+	if r.phase == "" {
 		service = "desk"
 	}
 	return s.store.Put("servers", r.id, map[string]any{
-		"service": service, "address": r.frontProxy.addr(), "zone": "z", "state": "ready", "slots": 64, "phase": phase, "born": 1,
+		"service": service, "address": r.frontProxy.addr(), "zone": "z", "state": "ready", "slots": 64, "phase": r.phase, "born": r.starts,
 	})
 }
 
@@ -221,16 +239,20 @@
 	{"store keeps answers", func(s *soak) { s.store.SetLoseAnswers(false) }},
 	{"store forgets", func(s *soak) { s.store.CompactHistory() }},
 	{"configuration", func(s *soak) { s.reconfigure() }},
-	{"runner reset", func(s *soak) { s.randomRunner().frontProxy.resetAll() }},
-	{"runner silent", func(s *soak) { s.randomRunner().frontProxy.setSilent(true, toTarget, fromTarget) }},
-	{"runner cut one way", func(s *soak) { s.randomRunner().frontProxy.setSilent(true, s.random.IntN(directions)) }},
-	{"runner slow", func(s *soak) { s.randomRunner().frontProxy.setDelay(s.randomDelay()) }},
-	{"runner heard", func(s *soak) { s.randomRunner().frontProxy.heal() }},
+	{"runner reset", func(s *soak) { s.randomRunner().link().resetAll() }},
+	{"runner silent", func(s *soak) { s.randomRunner().link().setSilent(true, toTarget, fromTarget) }},
+	{"runner cut one way", func(s *soak) { s.randomRunner().link().setSilent(true, s.random.IntN(directions)) }},
+	{"runner slow", func(s *soak) { s.randomRunner().link().setDelay(s.randomDelay()) }},
+	{"runner heard", func(s *soak) { s.randomRunner().link().heal() }},
 	{"runner rejects", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Reject: 0.5}) }},
 	{"runner loses answers", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3}) }},
 	{"runner breaks off", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Break: 0.5}) }},
 	{"runner sends without end", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Endless: 0.3}) }},
 	{"peer sends without end", func(s *soak) { go floodPeer(s.randomGateway().peerAddr) }},
+	{"runner asks for a pause", func(s *soak) { s.pause(s.randomRunner()) }},
+	{"runner leaves", func(s *soak) { s.leave(s.randomRunner()) }},
+	{"runner takes back that it leaves", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{}) }},
+	{"runner starts again", func(s *soak) { s.restart(s.randomRunner()) }},
 	{"runner is sound", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{}) }},
 }
 
@@ -297,6 +319,9 @@
 	for _, r := range s.runners {
 		r.frontProxy.heal()
 		r.runner.SetFaults(userplatform.Faults{})
+		if r.mustRestart {
+			s.restart(r)
+		}
 	}
 	for _, g := range s.gateways {
 		g.resume()
--- a/internal/standin/userplatform/runner.go
+++ b/internal/standin/userplatform/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,11 +28,33 @@
 	Account string
 }
 
-// Ledger records which requests ran, for all runners that share it. It is safe for
-// concurrent use.
+// Visit is the arrival of a caller's request at a runner, prefills included.
+type Visit struct {
+	Request, Runner string
+	At              time.Time
+	// Pause is the time for which the runner wanted no requests in its answer.
+	Pause time.Duration
+}
+
+// Ledger records which requests arrived and ran, for all runners that share it. It is safe
+// for concurrent use.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string]Run
+	mu     sync.Mutex
+	runs   map[string]Run
+	visits []Visit
+}
+
+// Visits returns the arrivals so far, in order.
+func (l *Ledger) Visits() []Visit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.visits)
+}
+
+func (l *Ledger) recordVisit(v Visit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.visits = append(l.visits, v)
 }
 
 // NewLedger returns an empty ledger.
@@ -64,6 +87,11 @@
 	// connection breaks before a given event. Endless answers with bytes that never end;
 	// a request so answered was run.
 	Reject, Lose, Break, Endless float64
+	// Pause turns a request away and asks for a pause of PauseFor.
+	Pause    float64
+	PauseFor time.Duration
+	// Leaving says in all answers that the runner leaves.
+	Leaving bool
 }
 
 // Runner is one runner of the users' platform. It implements http.Handler.
@@ -92,6 +120,20 @@
 	r.faults = f
 }
 
+// Restart gives the runner another identifier, as a new start does, and ends its faults.
+func (r *Runner) Restart(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.id, r.faults = id, Faults{}
+}
+
+// state returns the identifier and the faults.
+func (r *Runner) state() (id string, f Faults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.id, r.faults
+}
+
 // draw decides at random whether a fault occurs now.
 func (r *Runner) draw(share func(Faults) float64) bool {
 	r.mu.Lock()
@@ -112,7 +154,20 @@
 		return
 	}
 	id := q.Header.Get("Request-Id")
+	own, faults := r.state()
 	w.Header().Set("Request-Id", id)
+	w.Header().Set("Instance-Id", own)
+	if faults.Leaving {
+		w.Header().Set("Server-Leaving", "1")
+	}
+	visit := Visit{Request: id, Runner: own, At: time.Now()}
+	isCaller := !strings.HasPrefix(q.URL.Path, "/trefoilwalk/") && q.Header.Get("Target-Instance") == own
+	if isCaller && r.draw(func(f Faults) float64 { return f.Pause }) {
+		visit.Pause = faults.PauseFor
+	}
+	if isCaller {
+		r.ledger.recordVisit(visit)
+	}
 	switch {
 	case q.URL.Path == "/trefoilwalk/hold-take":
 		_, _ = io.WriteString(w, `{"hold":"h"}`)
@@ -121,8 +176,12 @@
 	case q.URL.Path == "/trefoilwalk/order":
 		w.WriteHeader(http.StatusConflict)
 	case strings.HasPrefix(q.URL.Path, "/trefoilwalk/"):
-	case q.Header.Get("Target-Instance") != r.id:
+	case !isCaller:
 		w.WriteHeader(http.StatusMisdirectedRequest)
+	case visit.Pause > 0:
+		w.Header().Set("Not-Executed", "1")
+		w.Header().Set("Retry-After", strconv.FormatFloat(visit.Pause.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case r.draw(func(f Faults) float64 { return f.Reject }):
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
