Soak: no two listeners of a run, or of two runs at once, on one port

Cause: ports were drawn at random, opened to see that they are free and closed again. Nothing kept two listeners of a run off the same port, or another run off the port of a gateway that restarts. If a caller's address is another gateway's peer or metrics address, that gateway never serves, and the run waits for all of its two minutes. Reproduced by giving one gateway's callers the peer address of another: the same error after the whole time to recover, and 22 times 'address already in use' in the log. That it was this in the run that failed cannot be shown, its logs are gone.

A run now locks a range of ports and gives each of them out once; if gateways do not start, the error has the end of their logs.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"log"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -46,11 +45,11 @@
 }
 
 // newProcess writes the settings of a gateway and does not start it. Its peers are
-// others; store is the address of the registry.
-func newProcess(o Options, number int, store string, others []*process) (*process, error) {
+// others; store is the address of the registry, ports are those of the run.
+func newProcess(o Options, number int, store string, others []*process, ports *portRange) (*process, error) {
 	addrs := make([]string, 4)
 	for i := range addrs {
-		addr, err := freeAddr()
+		addr, err := ports.freeAddr()
 		if err != nil {
 			return nil, err
 		}
@@ -98,25 +97,17 @@
 	return bytes << 10
 }
 
-// Ports of gateways lie below the ephemeral range of the kernel, so that no outgoing
-// connection takes the port of a gateway that is being restarted.
-const lowestPort, highestPort = 12_000, 32_000
-
-// freeAddr returns a loopback address whose port is free at the moment.
-func freeAddr() (string, error) {
-	var last error
-	for range 100 {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			last = err
-			continue
-		}
-		return l.Addr().String(), l.Close()
+// logTail returns the end of what the process wrote.
+func (p *process) logTail() string {
+	text, err := os.ReadFile(p.log)
+	if err != nil {
+		return err.Error()
 	}
-	return "", fmt.Errorf("soak: no free port: %w", last)
+	return string(text[max(0, len(text)-logTailBytes):])
 }
 
+const logTailBytes = 4 << 10
+
 func serveHTTP(h http.Handler) (*http.Server, string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -115,12 +115,17 @@
 		requests: make(map[string]sentRequest),
 		leaving:  make(map[passedOn]time.Time),
 	}
+	ports, err := newPortRange()
+	if err != nil {
+		return s.report, err
+	}
+	defer func() { _ = ports.close() }()
 	defer s.end()
-	if err := s.start(); err != nil {
+	if err := s.start(ports); err != nil {
 		return s.report, err
 	}
 	if !s.awaitServing(ctx) {
-		return s.report, errors.New("soak: the gateways do not serve all kinds of requests after their start")
+		return s.report, s.notServing()
 	}
 	callersCtx, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
@@ -146,6 +151,16 @@
 	return s.report, nil
 }
 
+// notServing is the error of a run whose gateways do not serve after their start. It has the
+// end of their logs.
+func (s *soak) notServing() error {
+	err := errors.New("soak: the gateways do not serve all kinds of requests after their start")
+	for _, g := range s.gateways {
+		err = fmt.Errorf("%w\n%s: %s", err, g.log, g.logTail())
+	}
+	return err
+}
+
 // listen serves a handler on a free port behind a proxy and returns the proxy.
 func (s *soak) listen(h http.Handler) (*proxy, error) {
 	server, addr, err := serveHTTP(h)
@@ -157,7 +172,7 @@
 }
 
 // start starts the stand-ins and the gateways.
-func (s *soak) start() (err error) {
+func (s *soak) start(ports *portRange) (err error) {
 	if s.storeProxy, err = s.listen(s.store); err != nil {
 		return err
 	}
@@ -177,7 +192,7 @@
 		return err
 	}
 	for i := range s.options.Gateways {
-		g, err := newProcess(s.options, i, s.storeProxy.addr(), s.gateways)
+		g, err := newProcess(s.options, i, s.storeProxy.addr(), s.gateways, ports)
 		if err != nil {
 			return err
 		}
