Soak: a pause counts from when its answer can have arrived

Trace: the runner's link was cut one way, from it to the gateways, since more than the four seconds that the check looked back; its answers arrived at 13:30:07.29, when the link was healed, and all of the requests were sent before. The gateway had not been told, and a cut excuses it. The check now knows the state of the link: a fault that lasts excuses as long as it lasts, however long before it began, and one that ended does no longer. That is stricter otherwise: four seconds after every change of a link were excused before.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -96,7 +96,7 @@
 		if v.Runner != turnedAway.Runner || s.requests[v.Request].gateway != g || !v.At.Before(end) {
 			continue
 		}
-		if g.disturbedBetween(turnedAway.At, v.At) || s.linkDisturbedBetween(v.Runner, turnedAway.At.Add(-requestTimeout), v.At) {
+		if g.disturbedBetween(turnedAway.At, v.At) || s.linkDisturbedBetween(v.Runner, turnedAway.At, v.At) {
 			break
 		}
 		if v.At.After(turnedAway.At.Add(pauseGrace)) {
@@ -108,8 +108,8 @@
 	}
 }
 
+// linkDisturbedBetween reports whether the link of a runner had a fault in a span, so that
+// its answers may have arrived late.
 func (s *soak) linkDisturbedBetween(runner string, from, to time.Time) bool {
-	return slices.ContainsFunc(s.runners, func(r *runnerNode) bool {
-		return r.id == runner && slices.ContainsFunc(r.disturbed, func(at time.Time) bool { return at.After(from) && at.Before(to) })
-	})
+	return slices.ContainsFunc(s.runners, func(r *runnerNode) bool { return r.id == runner && r.linkDisturbed(from, to) })
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -82,16 +82,51 @@
 	// that only its next start ends: that it leaves, or a pause of an hour.
 	starts      int
 	mustRestart bool
-	// disturbed lists when faults of its link began or ended.
-	disturbed []time.Time
+	// linkChanges lists when faults of its link began or ended, the last one last.
+	linkChanges []linkChange
 }
 
-// link returns the proxy for a change of the runner's link.
-func (r *runnerNode) link() *proxy {
-	r.disturbed = append(r.disturbed, time.Now())
+// linkChange is the begin of a fault of a link, the end of all of them or, with the state
+// that it had, a reset.
+type linkChange struct {
+	at    time.Time
+	sound bool
+}
+
+// disturbLink returns the proxy for a fault of the runner's link.
+func (r *runnerNode) disturbLink() *proxy {
+	r.linkChanges = append(r.linkChanges, linkChange{at: time.Now()})
 	return r.frontProxy
 }
 
+// resetLink breaks the connections of the runner's link. New ones are as before.
+func (r *runnerNode) resetLink() {
+	sound := len(r.linkChanges) == 0 || r.linkChanges[len(r.linkChanges)-1].sound
+	r.linkChanges = append(r.linkChanges, linkChange{time.Now(), sound})
+	r.frontProxy.resetAll()
+}
+
+// healLink ends the faults of the runner's link.
+func (r *runnerNode) healLink() {
+	r.linkChanges = append(r.linkChanges, linkChange{time.Now(), true})
+	r.frontProxy.heal()
+}
+
+// linkDisturbed reports whether the runner's link had a fault at some time in a span.
+func (r *runnerNode) linkDisturbed(from, to time.Time) bool {
+	faulty := false
+	for _, c := range r.linkChanges {
+		if c.at.After(to) {
+			break
+		}
+		if c.at.After(from) {
+			return true
+		}
+		faulty = !c.sound
+	}
+	return faulty
+}
+
 const (
 	faultInterval = 250 * time.Millisecond
 	// DefaultRecoverWithin is the bound that the users require.
@@ -254,11 +289,11 @@
 	{"store keeps answers", func(s *soak) { s.store.SetLoseAnswers(false) }},
 	{"store forgets", func(s *soak) { s.store.CompactHistory() }},
 	{"configuration", func(s *soak) { s.reconfigure() }},
-	{"runner reset", func(s *soak) { s.randomRunner().link().resetAll() }},
-	{"runner silent", func(s *soak) { s.randomRunner().link().setSilent(true, toTarget, fromTarget) }},
-	{"runner cut one way", func(s *soak) { s.randomRunner().link().setSilent(true, s.random.IntN(directions)) }},
-	{"runner slow", func(s *soak) { s.randomRunner().link().setDelay(s.randomDelay()) }},
-	{"runner heard", func(s *soak) { s.randomRunner().link().heal() }},
+	{"runner reset", func(s *soak) { s.randomRunner().resetLink() }},
+	{"runner silent", func(s *soak) { s.randomRunner().disturbLink().setSilent(true, toTarget, fromTarget) }},
+	{"runner cut one way", func(s *soak) { s.randomRunner().disturbLink().setSilent(true, s.random.IntN(directions)) }},
+	{"runner slow", func(s *soak) { s.randomRunner().disturbLink().setDelay(s.randomDelay()) }},
+	{"runner heard", func(s *soak) { s.randomRunner().healLink() }},
 	{"runner rejects", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Reject: 0.5}) }},
 	{"runner loses answers", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3}) }},
 	{"runner breaks off", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Break: 0.5}) }},
@@ -332,7 +367,7 @@
 	s.store.SetLoseAnswers(false)
 	s.storeProxy.heal()
 	for _, r := range s.runners {
-		r.frontProxy.heal()
+		r.healLink()
 		r.runner.SetFaults(userplatform.Faults{})
 		if r.mustRestart {
 			s.restart(r)
