--- a/upstream/quarantine/parts_test.go
+++ b/upstream/quarantine/parts_test.go
@@ -193,15 +193,17 @@
 // TestSettling guards against bans that are decided before other processes told what they
 // saw of the crashes.
 func TestSettling(t *testing.T) {
+	// Gateways exchange messages every half second.
+	const exchange = 500 * time.Millisecond
 	q, peer := NewPartTable(), NewPartTable()
 	for i := range 3 {
 		q.RecordCut(at(i), cutAt(float64(i), CrashID(i), contract.Fingerprint(i), other))
 		peer.RecordCut(at(i), cutAt(float64(i), CrashID(i), contract.Fingerprint(10+i), first, deadly))
 	}
-	if got := q.Decide(at(2).Add(settleFor / 2)); len(got) > 0 {
+	if got := q.Decide(at(2).Add(exchange)); len(got) > 0 {
 		t.Errorf("banned %v at once", got)
 	}
-	q.Merge(at(2).Add(settleFor/2), peer.Notes(at(2).Add(settleFor/2)))
+	q.Merge(at(2).Add(exchange), peer.Notes(at(2).Add(exchange)))
 	q.Decide(at(4))
 	if got := bansOf(q); got != "[1 d]" {
 		t.Errorf("banned %q after the notes of another process", got)
