--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -72,61 +72,6 @@
 	requests map[string]sentRequest
 }
 
-// runnerNode holds a runner, the proxy in front of it, its phase and its registered
-// identifier.
-type runnerNode struct {
-	runner     *userplatform.Runner
-	frontProxy *proxy
-	id, phase  string
-	// starts counts the starts of the runner. mustRestart is set once it said something
-	// that only its next start ends: that it leaves, or a pause of an hour.
-	starts      int
-	mustRestart bool
-	// linkChanges lists when faults of its link began or ended, the last one last.
-	linkChanges []linkChange
-}
-
-// linkChange is the begin of a fault of a link, the end of all of them or, with the state
-// that it had, a reset.
-type linkChange struct {
-	at    time.Time
-	sound bool
-}
-
-// disturbLink returns the proxy for a fault of the runner's link.
-func (r *runnerNode) disturbLink() *proxy {
-	r.linkChanges = append(r.linkChanges, linkChange{at: time.Now()})
-	return r.frontProxy
-}
-
-// resetLink breaks the connections of the runner's link. New ones are as before.
-func (r *runnerNode) resetLink() {
-	sound := len(r.linkChanges) == 0 || r.linkChanges[len(r.linkChanges)-1].sound
-	r.linkChanges = append(r.linkChanges, linkChange{time.Now(), sound})
-	r.frontProxy.resetAll()
-}
-
-// healLink ends the faults of the runner's link.
-func (r *runnerNode) healLink() {
-	r.linkChanges = append(r.linkChanges, linkChange{time.Now(), true})
-	r.frontProxy.heal()
-}
-
-// linkDisturbed reports whether the runner's link had a fault at some time in a span.
-func (r *runnerNode) linkDisturbed(from, to time.Time) bool {
-	faulty := false
-	for _, c := range r.linkChanges {
-		if c.at.After(to) {
-			break
-		}
-		if c.at.After(from) {
-			return true
-		}
-		faulty = !c.sound
-	}
-	return faulty
-}
-
 const (
 	faultInterval = 250 * time.Millisecond
 	// DefaultRecoverWithin is the bound that the users require.
@@ -239,16 +184,6 @@
 	return nil
 }
 
-func (s *soak) register(r *runnerNode) error {
-	service := "engines"
-	if r.phase == "" {
-		service = "desk"
-	}
-	return s.store.Put("servers", r.id, map[string]any{
-		"service": service, "address": r.frontProxy.addr(), "zone": "z", "state": "ready", "slots": 64, "phase": r.phase, "born": r.starts,
-	})
-}
-
 // injectFaults applies a random entry of faults in each interval until the duration is
 // over. Most effects last until another entry ends them, so they overlap.
 func (s *soak) injectFaults(ctx context.Context) {
