Soak: a runner that started again keeps the history of its link

Trace: its answers reached the gateway at 13:40:37.98, all at once, when its link was healed; the requests were sent before. The check knew that the link was cut, but not that the runner was the same: runners that asked for an hour start again at the end of a run, under another identifier, and the check looked for the old one. A runner now keeps all its identifiers.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -58,13 +58,12 @@
 
 // restart starts a runner again, under another identifier.
 func (s *soak) restart(r *runnerNode) {
-	old := r.id
-	r.starts++
+	old := r.id()
+	r.ids = append(r.ids, fmt.Sprintf("%s-%d", r.ids[0], len(r.ids)+1))
 	r.mustRestart = false
-	r.id = fmt.Sprintf("%s-%d", old[:len("i-0")], r.starts)
-	r.runner.Restart(r.id)
+	r.runner.Restart(r.id())
 	if err := errors.Join(s.store.Put("servers", old, nil), s.register(r)); err != nil {
-		s.failCheck("runner %s was not registered: %v", r.id, err)
+		s.failCheck("runner %s was not registered: %v", r.id(), err)
 	}
 }
 
@@ -111,5 +110,5 @@
 // linkDisturbedBetween reports whether the link of a runner had a fault in a span, so that
 // its answers may have arrived late.
 func (s *soak) linkDisturbedBetween(runner string, from, to time.Time) bool {
-	return slices.ContainsFunc(s.runners, func(r *runnerNode) bool { return r.id == runner && r.linkDisturbed(from, to) })
+	return slices.ContainsFunc(s.runners, func(r *runnerNode) bool { return slices.Contains(r.ids, runner) && r.linkDisturbed(from, to) })
 }
--- a/internal/soak/runners.go
+++ b/internal/soak/runners.go
@@ -6,15 +6,15 @@
 	"github.com/trefoilwalk/trefoilwalk/internal/standin/userplatform"
 )
 
-// runnerNode holds a runner, the proxy in front of it, its phase and its registered
-// identifier.
+// runnerNode holds a runner, the proxy in front of it, its phase and the identifiers of its
+// starts, of which the last one is registered.
 type runnerNode struct {
 	runner     *userplatform.Runner
 	frontProxy *proxy
-	id, phase  string
-	// starts counts the starts of the runner. mustRestart is set once it said something
-	// that only its next start ends: that it leaves, or a pause of an hour.
-	starts      int
+	phase      string
+	ids        []string
+	// mustRestart is set once the runner said something that only its next start ends: that
+	// it leaves, or a pause of an hour.
 	mustRestart bool
 	// linkChanges lists when faults of its link began or ended, the last one last.
 	linkChanges []linkChange
@@ -33,6 +33,9 @@
 	return r.frontProxy
 }
 
+// id is the identifier of the runner's last start.
+func (r *runnerNode) id() string { return r.ids[len(r.ids)-1] }
+
 // resetLink breaks the connections of the runner's link. New ones are as before.
 func (r *runnerNode) resetLink() {
 	sound := len(r.linkChanges) == 0 || r.linkChanges[len(r.linkChanges)-1].sound
@@ -67,7 +70,7 @@
 	if r.phase == "" {
 		service = "desk"
 	}
-	return s.store.Put("servers", r.id, map[string]any{
-		"service": service, "address": r.frontProxy.addr(), "zone": "z", "state": "ready", "slots": 64, "phase": r.phase, "born": r.starts,
+	return s.store.Put("servers", r.id(), map[string]any{
+		"service": service, "address": r.frontProxy.addr(), "zone": "z", "state": "ready", "slots": 64, "phase": r.phase, "born": len(r.ids),
 	})
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -163,7 +163,7 @@
 		if err != nil {
 			return err
 		}
-		s.runners = append(s.runners, &runnerNode{runner: r, frontProxy: via, id: id, phase: phase, starts: 1})
+		s.runners = append(s.runners, &runnerNode{runner: r, frontProxy: via, phase: phase, ids: []string{id}})
 		if err := s.register(s.runners[i]); err != nil {
 			return err
 		}
