Count calls cut by crashes only if the upstream crashed; two comments wrapped

trefoil_calls_cut_by_crash_total also counted calls to upstreams that could not be reached, which count as no crash otherwise. TestUnreachableUpstreamsAreNoCrash checks it and failed before.

--- a/instance/gateway/crash.go
+++ b/instance/gateway/crash.go
@@ -118,10 +118,10 @@
 	g.log.Info(string(eventCrashed), "request", r.message.ID, "upstream", choice.ID, "address", choice.Addr, "born", choice.Born,
 		"account", r.accountID(), "route", r.route.Name, "fingerprint", r.fingerprint, "shared_parts", r.sharedParts,
 		"sent_ms", call.brokenAt.Sub(call.sentAt).Milliseconds(), "events", call.events, "refused", result.Refused, "error", result.Err)
-	g.metrics.recordCrash(begun)
 	if !result.Refused {
 		return
 	}
+	g.metrics.recordCrash(begun)
 	quarantined := false
 	g.suspects.With(h, func(t **quarantine.Table) {
 		if begun {
--- a/instance/gateway/deadlypart_test.go
+++ b/instance/gateway/deadlypart_test.go
@@ -373,6 +373,9 @@
 			g.Forward(context.Background(), promptOf(1, firstPart), &callerSink{})
 			time.Sleep(time.Second)
 		}
+		if n := g.metrics.Snapshot(time.Now()).Crashes; n != (CrashCounts{}) {
+			t.Errorf("calls cut by crashes: %+v", n)
+		}
 		synctest.Wait()
 		f.runners.setReachable()
 		time.Sleep(2 * time.Second)
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -238,7 +238,8 @@
 const SweepEvery = 500 * time.Millisecond
 
 // runPeriodicWork removes upstreams whose registration has expired, starts a new round
-// of the quota meter, decides on the parts of prompts that crash engines and exchanges messages with peers. It schedules itself again.
+// of the quota meter, decides on the parts of prompts that crash engines and exchanges
+// messages with peers. It schedules itself again.
 func (g *Gateway) runPeriodicWork(h *table.HeldLocks) []pool.Effect {
 	now := g.clock.Now()
 	var changes []roster.Change
--- a/upstream/quarantine/quarantine.go
+++ b/upstream/quarantine/quarantine.go
@@ -7,8 +7,8 @@
 //
 // A PartTable does the same for the parts that prompts share.
 //
-// Sidecars and gateways record crashes; processes exchange what they know as notes. A Table has no
-// lock of its own: its users guard it with a lock of rank table.RankQuarantine.
+// Sidecars and gateways record crashes; processes exchange what they know as notes. A Table
+// has no lock of its own: its users guard it with a lock of rank table.RankQuarantine.
 package quarantine
 
 import (
