--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -15,7 +15,7 @@
 	minClients     = 7
 	probers        = 12
 	probeTimeout   = 1500 * time.Millisecond
-	replacedAtOnce = 4
+	replacedAtOnce = 6
 	replaceFor     = 96 * time.Second
 	// lingering is how long a runner that leaves serves on, so that its streams end.
 	lingering = 6 * time.Second
@@ -38,7 +38,7 @@
 	defer l.close()
 	g := l.gateways[0]
 	stop := make(chan struct{})
-	l.clients.wg.Go(func() { l.sendStreams(stop, 90) })
+	l.clients.wg.Go(func() { l.sendStreams(stop, 120) })
 	time.Sleep(3 * time.Second)
 	var mu sync.Mutex
 	var probes []probe
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -113,6 +113,7 @@
 	r.mu.Unlock()
 	if leaving {
 		w.Header().Set(name("leaving-header"), "1")
+		w.Header().Set("Connection", "close")
 	}
 	if target := q.Header.Get(name("target-header")); target != "" && target != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
