--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -164,7 +164,10 @@
 	return strconv.Itoa(q.status)
 }
 
-// newClient returns a client that keeps its connections open.
-func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
+// newClient returns a client that keeps up to 64 connections open.
+func newClient() *http.Client { return newClientKeeping(64) }
+
+// newClientKeeping returns a client that keeps up to so many connections open.
+func newClientKeeping(connections int) *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connections, DisableCompression: true}}
 }
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -38,7 +38,7 @@
 	defer l.close()
 	g := l.gateways[0]
 	stop := make(chan struct{})
-	l.clients.wg.Go(func() { l.sendStreams(stop, 120) })
+	l.clients.wg.Go(func() { l.sendStreams(stop, newClientKeeping(1024), 120) })
 	time.Sleep(3 * time.Second)
 	var mu sync.Mutex
 	var probes []probe
--- a/review/standin/drain.go
+++ b/review/standin/drain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"time"
 )
 
@@ -37,7 +38,7 @@
 	}
 	defer l.close()
 	stop := make(chan struct{})
-	l.clients.wg.Go(func() { l.sendStreams(stop, streamsPerS) })
+	l.clients.wg.Go(func() { l.sendStreams(stop, newClient(), streamsPerS) })
 	time.Sleep(4 * time.Second)
 	end := time.Now().Add(drainFor)
 	if trouble {
@@ -53,8 +54,7 @@
 }
 
 // sendStreams sends requests to the gateways at a steady rate.
-func (l *lab) sendStreams(stop <-chan struct{}, perSecond int) {
-	client := newClient()
+func (l *lab) sendStreams(stop <-chan struct{}, client *http.Client, perSecond int) {
 	tick := time.NewTicker(time.Second / time.Duration(perSecond))
 	defer tick.Stop()
 	for i := 0; ; i++ {
--- a/review/standin/routes.go
+++ b/review/standin/routes.go
@@ -38,7 +38,7 @@
 	defer l.close()
 	g := l.gateways[0]
 	stop := make(chan struct{})
-	l.clients.wg.Go(func() { l.sendStreams(stop, 8) })
+	l.clients.wg.Go(func() { l.sendStreams(stop, newClient(), 8) })
 	for range feeClients {
 		l.clients.wg.Go(func() { l.askFees(stop, g) })
 	}
