--- a/review/standins2/restart.go
+++ b/review/standins2/restart.go
@@ -54,14 +54,14 @@
 	_, _ = io.Copy(io.Discard, q.Body)
 	id := q.Header.Get("Request-Id")
 	w.Header().Set("Request-Id", id)
-	if q.Header.Get("Target-Instance") != b.id {
+	if q.Header.Get(names["target-header"]) != b.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	b.count(b.runs, id)
 	work := shortestWork + rand.N(longestWork-shortestWork)
 	time.Sleep(time.Until(time.Now().Add(work).Truncate(batchEvery).Add(batchEvery)))
-	w.Header().Set("Server-Signature", "s-"+id)
+	w.Header().Set(names["signature-header"], "s-"+id)
 	w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
 	if _, err := io.WriteString(w, strings.Repeat("b", answerBytes)); err != nil {
 		return
--- a/review/standins2/withdrawn.go
+++ b/review/standins2/withdrawn.go
@@ -48,7 +48,7 @@
 		return
 	}
 	s.store.ServeHTTP(w, q)
-	if strings.HasSuffix(q.URL.Path, "/rows-feed") && q.URL.Query().Get("table") == "op" && s.armed.CompareAndSwap(true, false) {
+	if strings.HasSuffix(q.URL.Path, names["feed-call"]) && q.URL.Query().Get("table") == "op" && s.armed.CompareAndSwap(true, false) {
 		s.mu.Lock()
 		s.until = time.Now().Add(silence)
 		s.mu.Unlock()
