--- a/review/standins2/lab.go
+++ b/review/standins2/lab.go
@@ -112,33 +112,20 @@
 	_ = os.RemoveAll(l.dir)
 }
 
-// register writes a runner's entry.
-func (d *deployment) register(id, service, addr string) error {
+// register writes a runner's entry. The phase is empty for a plain service.
+func (d *deployment) register(id, service, addr, phase string) error {
 	entry := map[string]any{
 		"service": service, "address": addr, "zone": "rajkot-a", "version": 1, "slots": 64, "state": "ready",
 		"warmup_left_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	}
+	if phase != "" {
+		entry["phase"] = phase
+	}
 	return d.store.Put("servers", id, entry)
 }
 
-// configure writes a version of the configuration: one route to one service, and a tenant with
-// the keys, none without them.
-func (d *deployment) configure(version int, keys ...string) error {
-	tenants := []map[string]any{}
-	if len(keys) > 0 {
-		tenants = append(tenants, map[string]any{"name": "weaver", "api_keys": keys})
-	}
-	return d.store.Put("op", "config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "wire-dispatch", "host": "orders.example", "prefix": "/book/", "kind": "non_idempotent", "service": "order-desk",
-			"timeout_ms": requestTimeout.Milliseconds(), "latency_goal_ms": 150, "max_attempts": 1, "priority": 2,
-		}},
-		"services": []map[string]any{{"name": "order-desk", "max_conns": 110}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 2000, "idle_timeout_ms": 10000},
-		"tenants":  tenants,
-	})
-}
+// limits are those of all configurations.
+var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 2000, "idle_timeout_ms": 10000}
 
 // Ports of the gateways: below those that the system gives to outgoing connections, so that
 // a gateway finds its ports free when it starts again.
--- a/review/standins2/restart.go
+++ b/review/standins2/restart.go
@@ -5,12 +5,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -21,9 +18,9 @@
 // Figures of the case of a rolling restart. Several small deployments restart their gateways
 // at the same time, each one gateway after the other, for more restarts in the time.
 const (
-	restartDeployments = 64
+	restartDeployments = 80
 	restartGateways    = 2
-	restartCallers     = 32
+	restartCallers     = 40
 	restartFor         = 92 * time.Second
 	// warmUp is the time of load before SIGTERM, notRouted that after it in which the
 	// balancer still sends new connections: it asks once a second and needs two misses.
@@ -31,90 +28,41 @@
 	notRouted = 2 * time.Second
 	// graceLimit is grace_s of the sheet.
 	graceLimit = 8 * time.Second
-	// requestTimeout is what callers state, timeout_ms of the route.
-	requestTimeout = 1500 * time.Millisecond
-	// The runner works on a booking for shortestWork to longestWork, and ends the work that
-	// is due in steps of batchEvery.
-	shortestWork = 100 * time.Millisecond
-	longestWork  = 1000 * time.Millisecond
-	batchEvery   = 250 * time.Millisecond
-	answerBytes  = 800
+	// summaryTimeout is what callers state, timeout_ms of the route.
+	summaryTimeout = 14 * time.Second
 )
 
-// bookings is a plain service that runs each request that names it and answers it whole.
-type bookings struct {
-	id string
-	mu sync.Mutex
-	// runs counts the runs of each request, answered those whose answer was written whole.
-	runs, answered map[string]int
-}
-
-// ServeHTTP implements http.Handler.
-func (b *bookings) ServeHTTP(w http.ResponseWriter, q *http.Request) {
-	_, _ = io.Copy(io.Discard, q.Body)
-	id := q.Header.Get("Request-Id")
-	w.Header().Set("Request-Id", id)
-	if q.Header.Get(names["target-header"]) != b.id {
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	b.count(b.runs, id)
-	work := shortestWork + rand.N(longestWork-shortestWork)
-	time.Sleep(time.Until(time.Now().Add(work).Truncate(batchEvery).Add(batchEvery)))
-	w.Header().Set(names["signature-header"], "s-"+id)
-	w.Header().Set("Content-Length", strconv.Itoa(answerBytes))
-	if _, err := io.WriteString(w, strings.Repeat("b", answerBytes)); err != nil {
-		return
-	}
-	if http.NewResponseController(w).Flush() == nil {
-		b.count(b.answered, id)
-	}
-}
-
-func (b *bookings) count(in map[string]int, id string) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	in[id]++
-}
-
-// of returns how often a request ran and was answered whole.
-func (b *bookings) of(id string) (runs, answered int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.runs[id], b.answered[id]
-}
-
-// restartCase restarts gateways in turn, as planned work, while callers book. It is broken if
-// a runner ran a booking and answered it whole, and the connection of its caller ended
-// without a whole answer.
+// restartCase restarts gateways in turn, as planned work, while callers ask for summaries. It
+// is broken if a runner wrote a whole answer, and the connection of its caller ended without
+// one.
 func restartCase(l *lab) (broken bool, err error) {
 	var lost, restarts atomic.Int64
 	errs := make([]error, restartDeployments)
 	var all sync.WaitGroup
 	for i := range restartDeployments {
-		d, desk, err := newOrderDesk(l)
+		d, reader, err := newPatternReader(l)
 		if err != nil {
 			return false, err
 		}
-		all.Go(func() { errs[i] = restartInTurn(l, d, desk, &lost, &restarts) })
+		all.Go(func() { errs[i] = restartInTurn(l, d, reader, &lost, &restarts) })
 	}
 	all.Wait()
-	l.write("%d restarts, %d bookings that ran and were answered whole by the runner were lost", restarts.Load(), lost.Load())
+	l.write("%d restarts, %d streams that the runner had written whole were lost", restarts.Load(), lost.Load())
 	return lost.Load() > 0, errors.Join(errs...)
 }
 
-// newOrderDesk starts a deployment with one service and writes its configuration.
-func newOrderDesk(l *lab) (*deployment, *bookings, error) {
+// newPatternReader starts a deployment with one model runner and writes its configuration.
+func newPatternReader(l *lab) (*deployment, *summaries, error) {
 	d, err := l.newDeployment()
 	if err != nil {
 		return nil, nil, err
 	}
-	desk := &bookings{id: "i-desk", runs: make(map[string]int), answered: make(map[string]int)}
-	addr, err := l.serve(desk)
+	reader := &summaries{id: "i-reader", events: make(map[string]int)}
+	addr, err := l.serve(reader)
 	if err != nil {
 		return nil, nil, err
 	}
-	if err := d.register(desk.id, "order-desk", addr); err != nil {
+	if err := d.register(reader.id, "pattern-reader", addr, "decode"); err != nil {
 		return nil, nil, err
 	}
 	for range restartGateways {
@@ -122,11 +70,22 @@
 			return nil, nil, err
 		}
 	}
-	return d, desk, d.configure(1)
+	return d, reader, d.store.Put("op", "config", map[string]any{
+		"version": 1,
+		"routes": []map[string]any{{
+			"name": "spec-summary", "host": "orders.example", "prefix": "/sum/", "kind": "streaming", "service": "pattern-reader",
+			"timeout_ms": summaryTimeout.Milliseconds(), "latency_goal_ms": 900, "max_attempts": 1, "priority": 1, "target_gap_ms": 300,
+		}},
+		"services": []map[string]any{{"name": "pattern-reader", "max_conns": 370, "engine": map[string]any{
+			"slots": 64, "kv_tokens": 42786, "kv_hold_s": 1, "stage_switch_s": 1, "hold_ms": 2000, "stride": 2,
+		}}},
+		"limits":  limits,
+		"tenants": []map[string]any{},
+	})
 }
 
 // restartInTurn starts all gateways of a deployment and restarts one after the other.
-func restartInTurn(l *lab, d *deployment, desk *bookings, lost, restarts *atomic.Int64) error {
+func restartInTurn(l *lab, d *deployment, reader *summaries, lost, restarts *atomic.Int64) error {
 	for _, g := range d.gateways {
 		if err := l.start(g); err != nil {
 			return err
@@ -134,7 +93,7 @@
 	}
 	for round := 0; time.Since(l.started) < restartFor; round++ {
 		g := d.gateways[round%len(d.gateways)]
-		if err := restartOnce(l, g, desk, lost); err != nil {
+		if err := restartOnce(l, g, reader, lost); err != nil {
 			return err
 		}
 		restarts.Add(1)
@@ -145,13 +104,13 @@
 	return nil
 }
 
-// tally counts the bookings of one restart.
+// tally counts the requests of one restart.
 type tally struct {
-	sent, ran, whole, refused, lost atomic.Int64
+	sent, whole, refused, lost atomic.Int64
 }
 
-// restartOnce lets callers book at a gateway and stops it with SIGTERM meanwhile.
-func restartOnce(l *lab, g *gateway, desk *bookings, lost *atomic.Int64) error {
+// restartOnce lets callers ask a gateway for summaries and stops it with SIGTERM meanwhile.
+func restartOnce(l *lab, g *gateway, reader *summaries, lost *atomic.Int64) error {
 	ctx, cancel := context.WithTimeout(context.Background(), graceLimit)
 	defer cancel()
 	if err := l.awaitReady(ctx, g); err != nil {
@@ -164,7 +123,7 @@
 	for range restartCallers {
 		callers.Go(func() {
 			for routed.Load() {
-				bookOnce(l, g, desk, &t)
+				summarizeOnce(l, g, reader, &t)
 			}
 		})
 	}
@@ -188,54 +147,53 @@
 		<-g.ended
 	}
 	lost.Add(t.lost.Load())
-	l.write("%s ended %v after the signal: sent %d, ran %d, whole answers %d, refused as not run %d, lost %d",
-		g.name, time.Since(signaled).Round(time.Millisecond), t.sent.Load(), t.ran.Load(), t.whole.Load(), t.refused.Load(), t.lost.Load())
+	l.write("%s ended %v after the signal: sent %d, whole answers %d, refused as not run %d, lost %d",
+		g.name, time.Since(signaled).Round(time.Millisecond), t.sent.Load(), t.whole.Load(), t.refused.Load(), t.lost.Load())
 	return nil
 }
 
-var lastRequest atomic.Int64
-
-// bookOnce sends a booking and judges its end.
-func bookOnce(l *lab, g *gateway, desk *bookings, t *tally) {
+// summarizeOnce sends a request and judges its end.
+func summarizeOnce(l *lab, g *gateway, reader *summaries, t *tally) {
 	id := fmt.Sprintf("%s-%d", g.name, lastRequest.Add(1))
 	t.sent.Add(1)
-	status, whole, err := book(g.callers, id, "")
-	runs, answered := desk.of(id)
-	if runs > 0 {
-		t.ran.Add(1)
-	}
+	status, events, err := summarize(g.callers, id)
+	written := reader.of(id)
 	switch {
-	case status == http.StatusOK && whole:
+	case status == http.StatusOK && err == nil && events == written:
 		t.whole.Add(1)
 	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
 		t.refused.Add(1)
-	case answered > 0 && !errors.Is(err, os.ErrDeadlineExceeded):
+	case written > 0 && !errors.Is(err, os.ErrDeadlineExceeded):
 		t.lost.Add(1)
-		l.write("LOST %s at %s: status %d, then %v; the runner ran it %d time(s) and wrote its whole answer", id, g.name, status, err, runs)
+		l.write("LOST %s at %s: status %d, %d of %d events, then %v", id, g.name, status, events, written, err)
 	}
 }
 
-// book sends a booking on a new connection and reads its answer. Without a key the header is
-// empty.
-func book(addr, id, key string) (status int, whole bool, err error) {
+// summarize sends a request on a new connection and reads its stream. It returns the number of
+// events and what ended the stream; nil is its regular end.
+func summarize(addr, id string) (status, events int, err error) {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return 0, false, err
+		return 0, 0, err
 	}
 	defer func() { _ = c.Close() }()
-	if err := c.SetDeadline(time.Now().Add(requestTimeout)); err != nil {
-		return 0, false, err
+	if err := c.SetDeadline(time.Now().Add(summaryTimeout)); err != nil {
+		return 0, 0, err
 	}
-	const body = "amount=1"
-	_, err = fmt.Fprintf(c, "POST /book/1 HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\nCredential: %s\r\nContent-Length: %d\r\n\r\n%s",
-		id, requestTimeout.Milliseconds(), key, len(body), body)
+	_, err = fmt.Fprintf(c, "POST /sum/1 HTTP/1.1\r\nHost: orders.example\r\nRequest-Id: %s\r\nRequest-Timeout-Ms: %d\r\nModel: m\r\n%s: 3200,69\r\nContent-Length: %d\r\n\r\n%s",
+		id, summaryTimeout.Milliseconds(), names["size-header"], len(summaryBody), summaryBody)
 	if err != nil {
-		return 0, false, err
+		return 0, 0, err
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
-		return 0, false, err
+		return 0, 0, err
+	}
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		if strings.HasPrefix(lines.Text(), "id:") {
+			events++
+		}
 	}
-	text, err := io.ReadAll(resp.Body)
-	return resp.StatusCode, err == nil && len(text) == answerBytes, err
+	return resp.StatusCode, events, lines.Err()
 }
--- a/review/standins2/withdrawn.go
+++ b/review/standins2/withdrawn.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := errors.Join(d.register(desk.id, "order-desk", addr), d.configure(1, withdrawn, "key-2")); err != nil {
+	if err := errors.Join(d.register(desk.id, "order-desk", addr, ""), d.configureBookings(1, withdrawn, "key-2")); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
@@ -87,12 +87,12 @@
 	}
 	time.Sleep(time.Second)
 	store.armed.Store(trouble())
-	if err := d.configure(2, withdrawn, "key-2"); err != nil {
+	if err := d.configureBookings(2, withdrawn, "key-2"); err != nil {
 		return false, err
 	}
 	l.write("the store accepted version 2; silent after it: %v", trouble())
 	time.Sleep(silence + settle)
-	if err := d.configure(3, "key-2"); err != nil {
+	if err := d.configureBookings(3, "key-2"); err != nil {
 		return false, err
 	}
 	accepted := time.Now()
