CONFIG, DRAIN: a watch that the registry lost ends before a change is late

Cause: the store loses a watch that arrives in an outage and serves all later calls. All gateways send theirs right after a change. Only the timeout of the watch, 10.7 s, ended it; it then counted as the start of an outage, in which upstreams that left pass for lapsed ones and are kept.

The old state ends 10.7 s after the watch was sent, whenever the outage ended, so the store is not late. Tests that failed before: TestLostWatch (outages of 20 ms to 4.5 s), TestLostWatchOfConfiguration, TestUnansweredWatchIsNoOutage.

Fix: the timeout of a watch follows from the deployment's bounds (new settings changes.config, changes.upstreams, changes.settle; 3.3 s for 2 s after 3 s, 5.3 s for 3 s after 4 s), and a watch without an answer is followed by a read at once, whose failure alone is an outage. It is logged as registry_watch_unanswered.

--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -140,6 +140,13 @@
 	return a
 }
 
+// forgetCalls removes all calls so far.
+func (f *fakeRunners) forgetCalls() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls, f.options = nil, nil
+}
+
 // count counts the calls of a kind.
 func (f *fakeRunners) count(kind string) (n int) {
 	f.mu.Lock()
@@ -269,7 +276,8 @@
 // errRegistryDown is the error of a fakeRegistry that is down.
 var errRegistryDown = errors.New("registry is down")
 
-// fakeRegistry is a registry in memory. While down is set, all calls but Entries fail.
+// fakeRegistry is a registry in memory. While down is set, all calls but Entries fail. Reads
+// of the configuration and the list that begin while silent is set get no answer.
 type fakeRegistry struct {
 	mu      sync.Mutex
 	changed chan struct{}
@@ -282,6 +290,7 @@
 	lease   registry.Lease
 	leaseAt time.Time
 	down    bool
+	silent  bool
 	// evacuations are the rows of evacuated zones.
 	evacuations evacuationRows
 }
@@ -304,10 +313,28 @@
 	f.changed = make(chan struct{})
 }
 
+// quietly calls do and raises the version without waking the watchers.
+func (f *fakeRegistry) quietly(do func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	do()
+	f.version++
+}
+
+func (f *fakeRegistry) setSilent(silent bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = silent
+}
+
 func (f *fakeRegistry) wait(ctx context.Context, after uint64, wait time.Duration) error {
 	f.mu.Lock()
-	changed, version, down := f.changed, f.version, f.down
+	changed, version, down, silent := f.changed, f.version, f.down, f.silent
 	f.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return context.Cause(ctx)
+	}
 	if down {
 		return errRegistryDown
 	}
@@ -500,12 +527,15 @@
 	// client is used in place of runners if it is set.
 	client   runner.Client
 	registry *fakeRegistry
-	peers    *fakePeers
+	// view is used in place of registry by gateways that start while it is set.
+	view  registry.Registry
+	peers *fakePeers
 	// log and regions may be nil.
 	log     hclog.Logger
 	regions map[zone.AvailabilityZone]zone.Region
 	// cold bounds the requests to cold upstreams.
-	cold ColdBounds
+	cold    ColdBounds
+	changes ChangeBounds
 }
 
 func record(id string, service directory.ServiceName, role upstream.Role) registry.Record {
@@ -531,17 +561,22 @@
 	if client == nil {
 		client = f.runners
 	}
+	var view registry.Registry = f.registry
+	if f.view != nil {
+		view = f.view
+	}
 	g := New(Options{
 		Self:       instance.Identity{Name: instance.Name(name), Incarnation: instance.Incarnation(time.Now().UnixNano())},
 		Addr:       name,
 		Seeds:      seeds,
 		Runners:    client,
-		Registry:   f.registry,
+		Registry:   view,
 		Peers:      f.peers,
 		Quota:      quota.Options{Window: 8 * time.Second},
 		Retries:    retry.Options{Share: 0.2, FloorPerSecond: 5, FloorBurst: 20, MaxSaved: 10},
 		RetryAfter: retryDelay,
 		Cold:       f.cold,
+		Changes:    f.changes,
 		LeaseTerm:  3 * time.Second,
 		Regions:    f.regions,
 		Log:        f.log,
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -80,6 +80,8 @@
 	// Regions are the regions of the availability zones; upstreams in other zones are
 	// outside of all home regions.
 	Regions map[zone.AvailabilityZone]zone.Region
+	// Changes bounds the time until changes of the registry are in force.
+	Changes ChangeBounds
 	// LeaseTerm is how long a lease is valid without renewal.
 	LeaseTerm time.Duration
 	// Metrics, Clock and Log may be nil: then New uses new metrics, the system
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -19,15 +19,6 @@
 
 // Times of the registry reads.
 const (
-	// WatchTimeout is how long one watch waits for changes. Dead connections are
-	// detected sooner by the connection's own probes.
-	WatchTimeout = 10 * time.Second
-	// WatchPause is the pause after a change of the list of upstreams, so that
-	// changes in quick succession need one watch: each answered watch is billed.
-	// It is short because a change must be in force within two seconds.
-	WatchPause = 300 * time.Millisecond
-	// WatchSlack is added to the timeout of a watch for the answer to arrive.
-	WatchSlack = 700 * time.Millisecond
 	// ReadTimeout bounds one read of the registry that is not a watch. Taking a lease
 	// is a read and a write and may last twice as long.
 	ReadTimeout = time.Second
@@ -63,7 +54,7 @@
 
 // watchConfig waits for the next configuration; pollConfig returns without waiting.
 func (g *Gateway) watchConfig(h *table.HeldLocks) []pool.Effect {
-	return g.readConfigSince(h, WatchTimeout)
+	return g.readConfigSince(h, g.options.Changes.watchTimeout(g.options.Changes.Config))
 }
 func (g *Gateway) pollConfig(h *table.HeldLocks) []pool.Effect { return g.readConfigSince(h, 0) }
 
@@ -72,6 +63,9 @@
 	g.config.With(h, func(c **configuration) { seen = (*c).seen })
 	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
 		update, err := g.registry.WatchConfig(ctx, seen, wait)
+		if wait > 0 {
+			err = watchError(ctx, err)
+		}
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterConfigRead(h, update, err, g.pollConfig) }
 	})
 }
@@ -80,9 +74,13 @@
 // a failure it schedules onError.
 func (g *Gateway) afterConfigRead(h *table.HeldLocks, update registry.ConfigUpdate, err error, onError pool.Step) []pool.Effect {
 	if errors.Is(err, registry.ErrHistoryGone) {
-		g.log.Info(string(eventHistoryGone), "what", "configuration")
+		g.log.Info(string(eventHistoryGone), "what", feedConfig.String())
 		return g.readConfig(h)
 	}
+	if errors.Is(err, errUnanswered) {
+		g.log.Info(string(eventWatchUnanswered), "what", feedConfig.String(), "error", err)
+		return g.pollConfig(h)
+	}
 	g.recordFeedResult(h, feedConfig, err)
 	if err != nil {
 		g.pool.After(ReadRetryDelay, onError)
@@ -155,7 +153,7 @@
 // waiting. It is used after a failure, since only an immediate answer shows that the
 // registry is back.
 func (g *Gateway) watchUpstreams(h *table.HeldLocks) []pool.Effect {
-	return g.readUpstreamsSince(h, WatchTimeout)
+	return g.readUpstreamsSince(h, g.options.Changes.watchTimeout(g.options.Changes.Upstreams))
 }
 func (g *Gateway) pollUpstreams(h *table.HeldLocks) []pool.Effect { return g.readUpstreamsSince(h, 0) }
 
@@ -164,15 +162,22 @@
 	g.members.With(h, func(m **members) { seen = (*m).listVersion })
 	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
 		list, err := g.registry.WatchUpstreams(ctx, seen, wait)
+		if wait > 0 {
+			err = watchError(ctx, err)
+		}
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterUpstreamsRead(h, list, err, g.pollUpstreams) }
 	})
 }
 
 func (g *Gateway) afterUpstreamsRead(h *table.HeldLocks, list registry.Upstreams, err error, onError pool.Step) []pool.Effect {
 	if errors.Is(err, registry.ErrHistoryGone) {
-		g.log.Info(string(eventHistoryGone), "what", "upstreams")
+		g.log.Info(string(eventHistoryGone), "what", feedUpstreams.String())
 		return g.readUpstreams(h)
 	}
+	if errors.Is(err, errUnanswered) {
+		g.log.Info(string(eventWatchUnanswered), "what", feedUpstreams.String(), "error", err)
+		return g.pollUpstreams(h)
+	}
 	g.recordFeedResult(h, feedUpstreams, err)
 	if err != nil {
 		g.pool.After(ReadRetryDelay, onError)
@@ -225,6 +230,11 @@
 	feedCount
 )
 
+// String returns the name of a feed in logs.
+func (f feed) String() string {
+	return [feedCount]string{feedConfig: "configuration", feedUpstreams: "upstreams"}[f]
+}
+
 // recordFeedResult records whether a read of a feed succeeded. The registry counts as
 // down while any feed fails; the board then keeps upstreams whose registration expires.
 func (g *Gateway) recordFeedResult(h *table.HeldLocks, f feed, err error) {
--- /dev/null
+++ b/instance/gateway/watch.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Times of the watches of the registry.
+const (
+	// WatchTimeout and minWatchTimeout bound how long one watch waits for changes.
+	WatchTimeout    = 10 * time.Second
+	minWatchTimeout = 500 * time.Millisecond
+	// WatchPause is the pause after a change of the list of upstreams, so that
+	// changes in quick succession need one watch: each answered watch is billed.
+	// It is short because a change must be in force within two seconds.
+	WatchPause = 300 * time.Millisecond
+	// WatchSlack is added to the timeout of a watch for the answer to arrive.
+	WatchSlack = 700 * time.Millisecond
+)
+
+// ChangeBounds are the times within which changes in the registry must be in force.
+type ChangeBounds struct {
+	// Config and Upstreams are those of the configuration and of the list of upstreams,
+	// counted from the registry's acknowledgement; 0 for no bound.
+	Config, Upstreams time.Duration
+	// Settle is how long after an outage of the registry they hold again.
+	Settle time.Duration
+}
+
+// watchTimeout returns how long a watch may wait for changes that must be in force within
+// bound. The registry loses a watch that it gets during an outage, and answers the next read
+// as if nothing had happened: only the timeout of the watch shows it. So it ends, and the
+// read after it is answered, before the first change after the outage is due.
+func (b ChangeBounds) watchTimeout(bound time.Duration) time.Duration {
+	if bound <= 0 {
+		return WatchTimeout
+	}
+	return min(WatchTimeout, max(minWatchTimeout, b.Settle+bound-WatchSlack-ReadTimeout))
+}
+
+// errUnanswered means that a watch got no answer, not even that nothing has changed. It may
+// have been lost in an outage that is over; a read shows whether the registry is down now.
+var errUnanswered = errors.New("gateway: no answer to a watch")
+
+// watchError returns the error of a call that waited for changes, wrapped in errUnanswered if
+// its context ended before the answer.
+func watchError(ctx context.Context, err error) error {
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", errUnanswered, err)
+	}
+	return err
+}
--- /dev/null
+++ b/instance/gateway/watch_test.go
@@ -0,0 +1,127 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/contract"
+)
+
+// testBounds are those of the deployments with the shortest times.
+var testBounds = ChangeBounds{Config: 2 * time.Second, Upstreams: 2 * time.Second, Settle: 3 * time.Second}
+
+// TestLostWatch guards against changes that are seen late because the registry lost a watch in
+// an outage: a withdrawn key kept working, and upstreams that had left got requests, for up
+// to ten seconds after an outage of one.
+func TestLostWatch(t *testing.T) {
+	for _, outage := range []time.Duration{20 * time.Millisecond, time.Second, 3 * time.Second, 4500 * time.Millisecond, 7 * time.Second} {
+		t.Run(fmt.Sprint(outage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := testFleet()
+				f.changes = testBounds
+				g := f.start(t, "g1")
+				defer g.Close()
+				synctest.Wait()
+				// The watches are answered, and those that follow reach a silent registry.
+				f.registry.change(func() {
+					f.registry.config = testConfig(2)
+					f.registry.silent = true
+				})
+				time.Sleep(outage)
+				f.registry.setSilent(false)
+				time.Sleep(testBounds.Settle)
+				withoutKey := testConfig(3)
+				withoutKey.Keys = map[contract.KeyHash]contract.AccountID{}
+				f.registry.change(func() { delete(f.registry.list, "s1") })
+				time.Sleep(testBounds.Upstreams)
+				synctest.Wait()
+				f.runners.forgetCalls()
+				for range 20 {
+					checkRefusal(t, g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{}), "", contract.RanNo)
+				}
+				for _, call := range f.runners.allCalls() {
+					if call == "call@s1" {
+						t.Fatal("an upstream that had left got a request")
+					}
+				}
+				f.registry.change(func() { f.registry.config = withoutKey })
+				time.Sleep(testBounds.Config)
+				synctest.Wait()
+				refusal := g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+				checkRefusal(t, refusal, contract.CodeKeyInvalid, contract.RanNo)
+			})
+		})
+	}
+}
+
+// TestLostWatchOfConfiguration is the case of a key alone, with no change of the list.
+func TestLostWatchOfConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.changes = testBounds
+		g := f.start(t, "g1")
+		defer g.Close()
+		synctest.Wait()
+		f.registry.change(func() {
+			f.registry.config = testConfig(2)
+			f.registry.silent = true
+		})
+		time.Sleep(time.Second)
+		f.registry.setSilent(false)
+		time.Sleep(testBounds.Settle)
+		f.registry.change(func() {
+			f.registry.config = testConfig(3)
+			f.registry.config.Keys = map[contract.KeyHash]contract.AccountID{}
+		})
+		time.Sleep(testBounds.Config)
+		synctest.Wait()
+		refusal := g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+		checkRefusal(t, refusal, contract.CodeKeyInvalid, contract.RanNo)
+	})
+}
+
+// TestUnansweredWatchIsNoOutage guards against a lost watch that counts as an outage of the
+// registry when the read after it is answered: an upstream that left meanwhile would be taken
+// for one whose registration lapsed, and kept.
+func TestUnansweredWatchIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.changes = testBounds
+		g := f.start(t, "g1")
+		defer g.Close()
+		synctest.Wait()
+		f.registry.change(func() { f.registry.silent = true })
+		time.Sleep(time.Second)
+		f.registry.setSilent(false)
+		time.Sleep(time.Second)
+		f.registry.quietly(func() { delete(f.registry.list, "s1") })
+		time.Sleep(g.options.Changes.watchTimeout(testBounds.Upstreams) + WatchSlack)
+		synctest.Wait()
+		for range 20 {
+			g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+		}
+		for _, call := range f.runners.allCalls() {
+			if call == "call@s1" {
+				t.Fatal("an upstream that had left got a request")
+			}
+		}
+	})
+}
+
+// TestWatchTimeout checks the waits that follow from the bounds of deployments.
+func TestWatchTimeout(t *testing.T) {
+	for _, c := range []struct{ bound, settle, want time.Duration }{
+		{0, 3 * time.Second, WatchTimeout},
+		{2 * time.Second, 3 * time.Second, 3300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 5300 * time.Millisecond},
+		{time.Minute, 0, WatchTimeout},
+		{time.Second, 0, minWatchTimeout},
+	} {
+		if got := (ChangeBounds{Settle: c.settle}).watchTimeout(c.bound); got != c.want {
+			t.Errorf("bound %v after %v: %v, want %v", c.bound, c.settle, got, c.want)
+		}
+	}
+}
--- a/link/settings/gateway.go
+++ b/link/settings/gateway.go
@@ -47,6 +47,8 @@
 	// how long they are and at what rate.
 	Cold    GatewayCold    `toml:"cold"`
 	Retries GatewayRetries `toml:"retries"`
+	// Changes bounds the time until changes in the registry are in force.
+	Changes GatewayChanges `toml:"changes"`
 	// ReturnAfter is the wait that a refusal for want of room asks for; default
 	// 2s.
 	ReturnAfter Duration `toml:"return_after"`
@@ -77,6 +79,18 @@
 	Window Duration `toml:"window"`
 }
 
+// GatewayChanges bounds the time until changes in the registry are in force, from the
+// registry's acknowledgement on.
+type GatewayChanges struct {
+	// Config is the bound for a configuration; default 2s.
+	Config Duration `toml:"config"`
+	// Upstreams is the bound for the list of upstreams; default 2s.
+	Upstreams Duration `toml:"upstreams"`
+	// Settle is how long after an outage of the registry the bounds hold again; default
+	// 3s.
+	Settle Duration `toml:"settle"`
+}
+
 // GatewayCold is the bound on the requests to one cold upstream in any second, in the whole
 // fleet.
 type GatewayCold struct {
@@ -95,6 +109,7 @@
 		Quota:         GatewayQuota{Window: durationOf(8 * time.Second)},
 		Lease:         durationOf(3 * time.Second),
 		Retries:       GatewayRetries{Share: 0.2, Slack: 50, Window: durationOf(10 * time.Second)},
+		Changes:       GatewayChanges{durationOf(2 * time.Second), durationOf(2 * time.Second), durationOf(3 * time.Second)},
 		ReturnAfter:   durationOf(2 * time.Second),
 		ShutdownLimit: durationOf(8 * time.Second),
 	}
@@ -147,6 +162,9 @@
 		c.name("zones."+name, name)
 		c.name("zones."+name, s.Zones[name])
 	}
+	c.duration("changes.config", s.Changes.Config, 100*time.Millisecond, time.Hour)
+	c.duration("changes.upstreams", s.Changes.Upstreams, 100*time.Millisecond, time.Hour)
+	c.duration("changes.settle", s.Changes.Settle, 0, time.Hour)
 	c.duration("lease", s.Lease, 100*time.Millisecond, time.Minute)
 	between(c, "cold.over", s.Cold.Over, 0, 1000)
 	between(c, "cold.slack", s.Cold.Slack, 0, 1e6)
