DRAIN: what a steady peer's list lacks has left

Cause: the gateway took each failure of its own reads for an outage of the store, in which registrations lapse, and kept what was missing until two seconds after its own next read. The store served its peers and the upstreams, so nothing had lapsed.

Ruled out: that the gateway does not hear of it.

Fix: messages between gateways say whether the sender is steady (it reads the store, had no outage in the last seconds, and not most of its peers are cut off). What a newer list of a steady peer lacks is removed at once, and so is what the gateway's own reads lack within a second after.

--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -15,7 +15,6 @@
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
-	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 	"github.com/trefoilwalk/trefoilwalk/upstream/shortage"
 	"github.com/trefoilwalk/trefoilwalk/upstream/traffic"
 )
@@ -52,6 +51,8 @@
 	// exchange is in flight.
 	lost       bool
 	exchanging bool
+	// away is set if it could not read the registry at its last message.
+	away bool
 }
 
 // members holds the known peers and the state of the process's registry feeds.
@@ -102,18 +103,34 @@
 	}
 }
 
-// recordContact records a message from a peer and reports whether it had been lost.
-func (m *members) recordContact(now time.Time, p relay.Peer) (wasLost bool) {
+// recordContact records a message from a peer and reports whether it had been lost. away
+// tells whether the peer cannot read the registry.
+func (m *members) recordContact(now time.Time, p relay.Peer, away bool) (wasLost bool) {
 	m.addPeers(now, []relay.Peer{p})
 	known, ok := m.peers[p.Name]
 	if !ok {
 		return false
 	}
 	wasLost = known.lost
-	known.lastHeard, known.lost = now, false
+	known.lastHeard, known.lost, known.away = now, false, away
 	return wasLost
 }
 
+// mostAway reports whether more than half of the live peers cannot read the registry.
+func (m *members) mostAway(now time.Time) bool {
+	live, away := 0, 0
+	for _, p := range m.peers {
+		if now.Sub(p.lastHeard) >= PeerExpiry {
+			continue
+		}
+		live++
+		if p.away {
+			away++
+		}
+	}
+	return 2*away > live
+}
+
 // countGateways counts the live gateways, including this one. Peers that are listed
 // but have sent no message yet count too: after a restart of the whole fleet no
 // gateway has received a message.
@@ -269,131 +286,8 @@
 	}
 }
 
-// buildMessage makes the message to a peer: versions, own quota usage, suspect
-// requests, engines that change their role and some other peers.
-func (g *Gateway) buildMessage(h *table.HeldLocks, to instance.Name) relay.Message {
-	now := g.clock.Now()
-	var m relay.Message
-	if snapshot := g.snapshot(h); snapshot != nil {
-		m.Config = snapshot.Version
-	}
-	m.Evacuations = g.evacuations(h).Stamp()
-	g.members.With(h, func(own **members) {
-		m.From = (*own).self
-		m.List = (*own).listVersion
-		m.Away = (*own).anyFeedDown()
-		m.Known = (*own).livePeers(now)
-		// The order is random, so all live peers are listed over several messages.
-		m.Known = m.Known[:min(len(m.Known), MaxListedPeers)]
-	})
-	g.quotas.With(h, func(q **quota.Meter) { m.Usage = (*q).StatementFor(now, to) })
-	g.demand.With(h, func(l **demand.Ledger) { m.Demand = (*l).Own(now) })
-	g.shortages.With(h, func(l **shortage.Ledger) { m.Shortage = (*l).Own(now) })
-	g.traffic.With(h, func(l **traffic.Ledger) {
-		own := (*l).Own(now, to)
-		m.Traffic = &own
-	})
-	g.suspects.With(h, func(t **quarantine.Table) { m.Suspects = (*t).Notes(now) })
-	g.promptParts.With(h, func(t **quarantine.PartTable) { m.PromptParts = (*t).Notes(now) })
-	g.board.With(h, func(b **roster.Board) {
-		m.RoleOrders = (*b).RoleOrders(now)
-		m.Leaving = (*b).LeavingNotes(now)
-	})
-	return m
-}
-
-// exchangeWith makes an effect that sends a message to a peer and applies the reply.
-// The name of a seed is unknown.
-func (g *Gateway) exchangeWith(h *table.HeldLocks, to relay.Peer) pool.Effect {
-	m := g.buildMessage(h, to.Name)
-	return pool.Effect{Lane: lanePeers, Perform: func(ctx context.Context) pool.Step {
-		ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
-		defer cancel()
-		reply, err := g.options.Peers.Exchange(ctx, to.Addr, m)
-		return func(h *table.HeldLocks) []pool.Effect {
-			g.members.With(h, func(own **members) {
-				for _, p := range (*own).peers {
-					if p.Addr == to.Addr {
-						p.exchanging = false
-					}
-				}
-			})
-			if err != nil {
-				g.log.Debug("exchange failed", "address", to.Addr, "error", err)
-				return nil
-			}
-			g.applyMessage(h, reply.Message)
-			g.adoptEvacuations(h, reply.Evacuated, reply.From)
-			if reply.Newer != nil {
-				g.adoptConfig(h, reply.Newer, string(reply.From.Name))
-			}
-			if reply.Upstreams != nil {
-				g.applyRelayedList(h, *reply.Upstreams, reply.From)
-			}
-			return nil
-		}
-	}}
-}
-
-// applyRelayedList applies a peer's list of upstreams while the registry does not
-// answer here. Otherwise this process reads the list itself.
-func (g *Gateway) applyRelayedList(h *table.HeldLocks, list registry.Upstreams, from relay.Peer) {
-	if g.registryDown(h) {
-		g.applyUpstreams(h, list, string(from.Name))
-	}
-}
-
-// applyMessage applies a peer's message or reply to the tables.
-func (g *Gateway) applyMessage(h *table.HeldLocks, m relay.Message) {
-	now := g.clock.Now()
-	wasLost := false
-	g.members.With(h, func(own **members) {
-		wasLost = (*own).recordContact(now, m.From)
-		(*own).addPeers(now, m.Known)
-	})
-	if wasLost {
-		g.log.Info(string(eventPeerBack), "peer", m.From.Name)
-	}
-	g.quotas.With(h, func(q **quota.Meter) { (*q).ApplyStatement(now, m.From.Name, m.Usage) })
-	g.applyDemand(h, m)
-	g.applyShortage(h, m)
-	g.applyTraffic(h, now, m)
-	g.recordRoleOrders(h, m.RoleOrders)
-	if len(m.Suspects) > 0 {
-		g.suspects.With(h, func(t **quarantine.Table) { (*t).MergeNotes(now, m.Suspects) })
-	}
-	g.applyLeaving(h, m)
-	g.confirmEvacuations(h, m)
-	g.applyPartNotes(h, m.PromptParts, string(m.From.Name))
-}
-
-// Exchange implements relay.Server. The reply carries the configuration if the sender
-// has an older one, and the list of upstreams if it cannot read the registry.
-func (g *Gateway) Exchange(ctx context.Context, m relay.Message) (relay.Reply, error) {
-	return pool.Ask(ctx, g.pool, func(h *table.HeldLocks, answer func(relay.Reply)) []pool.Effect {
-		g.applyMessage(h, m)
-		reply := relay.Reply{Message: g.buildMessage(h, m.From.Name)}
-		if snapshot := g.snapshot(h); snapshot != nil && snapshot.Version > m.Config {
-			reply.Newer = snapshot
-		}
-		reply.Evacuated = g.evacuationsFor(h, m)
-		if m.Away && reply.List > m.List {
-			var list registry.Upstreams
-			g.board.With(h, func(b **roster.Board) { list = (*b).List(reply.List) })
-			reply.Upstreams = &list
-		}
-		answer(reply)
-		if m.Config > reply.Config || reply.Evacuations.Lacks(m.Evacuations) || m.List > reply.List && g.registryDown(h) {
-			return []pool.Effect{g.exchangeWith(h, m.From)}
-		}
-		return nil
-	})
-}
-
 // registryDown reports whether the last read of one of the registry's feeds failed.
 func (g *Gateway) registryDown(h *table.HeldLocks) (down bool) {
 	g.members.With(h, func(m **members) { down = (*m).anyFeedDown() })
 	return down
 }
-
-var _ relay.Server = (*Gateway)(nil)
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -61,6 +61,10 @@
 	// Away means that the sender cannot read the registry and asks for the list
 	// of upstreams.
 	Away bool
+	// Steady means that the sender reads the registry and knows of no outage in the last
+	// seconds, neither its own nor one that most of its peers report. What its list lacks
+	// has left; no registration in it can have lapsed.
+	Steady bool
 }
 
 // Reply carries the receiver's own message and the newer state that the sender of
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -42,6 +42,9 @@
 	// LapseDetectionWindow is how long after a registry outage a removed
 	// registration counts as lapsed during it. An upstream removed later has left.
 	LapseDetectionWindow = 300 * time.Millisecond
+	// SteadyPeerFor is how long after a list from a peer that reads the registry an outage
+	// counts as one of this process alone: two rounds of exchanges with peers.
+	SteadyPeerFor = time.Second
 )
 
 // ejectAfter is the number of consecutive failures that eject an upstream. Plain
@@ -103,6 +106,8 @@
 	// last outage ended.
 	registryDown   bool
 	registryBackAt time.Time
+	// steadyPeerAt is when a peer without an outage last sent a newer list.
+	steadyPeerAt time.Time
 	// backlogShare is the share of PrefillBacklog that this process uses, from
 	// minBacklogShare to 1.
 	backlogShare float64
@@ -147,6 +152,28 @@
 	}
 }
 
+// RecordSteadyPeer records that a peer, which knows of no outage of the registry, is about to
+// provide a newer list. Upstreams that are missing in it have left; those that left later are
+// missing in the next list of this process.
+func (b *Board) RecordSteadyPeer(now time.Time) {
+	b.steadyPeerAt = now
+}
+
+// Settled reports whether the registry can be read, and since so long that registrations
+// which lapsed in its last outage are back.
+func (b *Board) Settled(now time.Time) bool {
+	return !b.registryDown && !now.Before(b.registryBackAt.Add(LapseGrace))
+}
+
+// mayHaveLapsed reports whether a registration that is missing now may have ended only
+// because upstreams could not reach the registry.
+func (b *Board) mayHaveLapsed(now time.Time) bool {
+	if now.Before(b.steadyPeerAt.Add(SteadyPeerFor)) {
+		return false
+	}
+	return b.registryDown || now.Before(b.registryBackAt.Add(LapseDetectionWindow))
+}
+
 // Apply applies an update of the registry's list. If the update is whole, upstreams that
 // it does not contain count as gone.
 func (b *Board) Apply(now time.Time, change registry.Upstreams) []Change {
@@ -229,7 +256,7 @@
 	if !ok {
 		return changes
 	}
-	if !b.isLeaving(u) && (b.registryDown || now.Before(b.registryBackAt.Add(LapseDetectionWindow))) {
+	if !b.isLeaving(u) && b.mayHaveLapsed(now) {
 		if u.lapsedAt.IsZero() {
 			u.lapsedAt = now
 			changes = append(changes, Change{id, "lapsed", u.Addr, u.Role})
