The version of the list of upstreams changes together with the list

The version was set under the lock of the members and the board changed under its own lock later. A peer that could not read the registry and asked in between got the old list as one of the new version, and then read only later changes. Two lists that were applied at the same time could also end in the reverse order of their versions.

The board now changes while the lock of the members is held, in the stated lock order.

--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -195,18 +195,20 @@
 // known. from names its source in the log.
 func (g *Gateway) applyUpstreams(h *table.HeldLocks, list registry.Upstreams, from string) {
 	newer := false
+	var changes []roster.Change
 	g.members.With(h, func(m **members) {
-		if list.Version >= (*m).listVersion {
-			(*m).listVersion = list.Version
-			newer = true
+		if list.Version < (*m).listVersion {
+			return
 		}
+		newer = true
+		(*m).listVersion = list.Version
+		// Under the same lock: a peer that is told this version gets this list, and lists are
+		// applied in the order of their versions.
+		g.board.With(h, func(b **roster.Board) { changes = (*b).Apply(g.clock.Now(), list) })
 	})
 	if !newer {
 		return
 	}
-	now := g.clock.Now()
-	var changes []roster.Change
-	g.board.With(h, func(b **roster.Board) { changes = (*b).Apply(now, list) })
 	g.logChanges(changes, from, list.Version)
 	g.forgetUpstreams(h, changes)
 	g.becomeReady(h)
