LOST: a second SIGTERM does not end a graceful shutdown

A process that got SIGTERM again while it shut down ended at once and cut all answers.

Cause: the handler of SIGTERM was removed when the shutdown began.

Fix: SIGTERM stays handled during the shutdown, which has its own limit; SIGINT ends the process as before. The handlers are installed before the settings are read.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -73,8 +73,13 @@
 }
 
 // run starts the process, shuts it down on SIGTERM or SIGINT, and returns the exit
-// code. A second signal during the shutdown kills the process.
+// code. During the shutdown SIGTERM and SIGHUP have no effect; SIGINT kills the process.
 func (p Program) run(file string, check bool, level string) int {
+	terminate, hangup := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(terminate, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(terminate)
+	defer signal.Stop(hangup)
 	start, err := p.Check(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -87,19 +92,14 @@
 	lines := newLineWriter(os.Stdout, p.logBuffer())
 	defer lines.Close()
 	log := hclog.New(&hclog.LoggerOptions{Name: p.Name, Level: hclog.LevelFromString(level), JSONFormat: true, Output: lines})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	running, err := start(log)
 	if err != nil {
 		log.Error("start failed", "error", err)
 		return exitFailed
 	}
 	log.Info("started", "version", Version())
-	p.wait(ctx, hangup, file, log)
-	stop()
+	p.wait(terminate, hangup, file, log)
+	signal.Reset(os.Interrupt)
 	log.Info("shutting down")
 	if err := running.Shutdown(context.Background()); err != nil {
 		log.Error("shutdown incomplete", "error", err)
@@ -109,12 +109,12 @@
 	return exitOK
 }
 
-// wait returns when ctx ends. On SIGHUP it validates the settings file again and logs
-// the result; the running process keeps its settings until the next start.
-func (p Program) wait(ctx context.Context, hangup <-chan os.Signal, file string, log hclog.Logger) {
+// wait returns on a signal to terminate. On SIGHUP it validates the settings file again and
+// logs the result; the running process keeps its settings until the next start.
+func (p Program) wait(terminate, hangup <-chan os.Signal, file string, log hclog.Logger) {
 	for {
 		select {
-		case <-ctx.Done():
+		case <-terminate:
 			return
 		case <-hangup:
 		}
