Soak: an answer must not end without its end

The soak counted a stream with all events and no end as one that broke off, whatever ended its connection. It now fails if that happens at a gateway that was not killed.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -102,7 +102,8 @@
 func (s *soak) ask(ctx context.Context, client *http.Client, g *process, k kind, caller string) bool {
 	s.mu.Lock()
 	id := fmt.Sprintf("%s-%d", caller, len(s.requests))
-	s.requests[id] = sentRequest{kind: k, gateway: g, sentAt: time.Now()}
+	began := time.Now()
+	s.requests[id] = sentRequest{kind: k, gateway: g, sentAt: began}
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
@@ -111,6 +112,9 @@
 	if err != nil {
 		outcome += " broken"
 	}
+	if err != nil && ctx.Err() == nil && status == http.StatusOK && body == answerTo(k, id) && !g.killedSince(began) {
+		s.failCheck("the connection of request %s ended after the whole answer and before its end: %v", id, err)
+	}
 	s.mu.Lock()
 	sent := s.requests[id]
 	sent.status = status
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -29,6 +29,8 @@
 	closed  bool
 	// disturbed lists when the process was started, signaled to end, paused or resumed.
 	disturbed []time.Time
+	// killedAt is when it last got SIGKILL, zero before.
+	killedAt time.Time
 }
 
 // recordDisturbance requires that mu is held.
@@ -161,6 +163,9 @@
 	if s != syscall.SIGHUP {
 		p.recordDisturbance()
 	}
+	if s == syscall.SIGKILL {
+		p.killedAt = time.Now()
+	}
 	if p.command != nil {
 		_ = p.command.Process.Signal(s)
 	}
@@ -178,6 +183,13 @@
 	p.signal(syscall.SIGCONT)
 }
 
+// killedSince reports whether the process was ended by SIGKILL after a time.
+func (p *process) killedSince(from time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killedAt.After(from)
+}
+
 func (p *process) reload() { p.signal(syscall.SIGHUP) }
 func (p *process) resume() { p.signal(syscall.SIGCONT) }
 
