Soak: an answer that the runner broke off is not cut by the gateway

The check for answers without their end was wrong in one case.

The check now leaves out answers whose runner left or had a fault of its link meanwhile, by the soak's own records.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,9 @@
 	gateway *process
 	sentAt  time.Time
 	status  int
+	// cutAt is when its connection ended after the whole answer and before its end, at a
+	// gateway that was not killed; zero if it did not.
+	cutAt time.Time
 }
 
 const (
@@ -112,12 +116,13 @@
 	if err != nil {
 		outcome += " broken"
 	}
-	if err != nil && ctx.Err() == nil && status == http.StatusOK && body == answerTo(k, id) && !g.killedSince(began) {
-		s.failCheck("the connection of request %s ended after the whole answer and before its end: %v", id, err)
-	}
+	withoutEnd := err != nil && ctx.Err() == nil && status == http.StatusOK && body == answerTo(k, id) && !g.killedSince(began)
 	s.mu.Lock()
 	sent := s.requests[id]
 	sent.status = status
+	if withoutEnd {
+		sent.cutAt = time.Now()
+	}
 	s.requests[id] = sent
 	s.report.Outcomes[k.name+" "+outcome]++
 	s.mu.Unlock()
@@ -130,6 +135,24 @@
 	return true
 }
 
+// checkEnds fails for each answer that a gateway cut off before its end. One whose runner may
+// have broken it off is left out: the runner left, or its link had a fault meanwhile.
+func (s *soak) checkEnds() {
+	brokenOff := make(map[string]bool)
+	for _, v := range s.ledger.Visits() {
+		sent := s.requests[v.Request]
+		left := slices.ContainsFunc(s.departures.nodes, func(r *runnerNode) bool { return slices.Contains(r.ids, v.Runner) })
+		if left || s.linkDisturbedBetween(v.Runner, sent.sentAt, sent.cutAt) {
+			brokenOff[v.Request] = true
+		}
+	}
+	for id, sent := range s.requests {
+		if !sent.cutAt.IsZero() && !brokenOff[id] {
+			s.failCheck("the connection of request %s ended after the whole answer and before its end", id)
+		}
+	}
+}
+
 // answerTo returns the complete body that a request must be answered with.
 func answerTo(k kind, id string) string {
 	if !k.stream {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -156,6 +156,7 @@
 	}
 	s.check()
 	s.checkNotices()
+	s.checkEnds()
 	s.checkCold()
 	s.checkLeavers(leavers)
 	s.checkEvacuation()
