Logs tell how long a watch waited and a configuration took to be in force

The hypotheses for a late configuration differ in where the time passes: in a watch without an answer (registry_watch_unanswered, now with how long it waited), between the answer and its being in force (configuration_in_force, now with apply_ms), or in the store (neither).

--- a/instance/gateway/evacuation_test.go
+++ b/instance/gateway/evacuation_test.go
@@ -308,7 +308,7 @@
 			list.Present = append(list.Present, r)
 		}
 		g.applyUpstreams(h, list, "g0")
-		g.adoptConfig(h, testConfig(1), "g0")
+		g.adoptConfig(h, testConfig(1), "g0", time.Now())
 		if g.Ready() {
 			t.Fatal("ready though the evacuated zones are not known")
 		}
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -59,6 +59,7 @@
 		ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 		defer cancel()
 		reply, err := g.options.Peers.Exchange(ctx, to.Addr, m)
+		received := g.clock.Now()
 		return func(h *table.HeldLocks) []pool.Effect {
 			g.members.With(h, func(own **members) {
 				for _, p := range (*own).peers {
@@ -74,7 +75,7 @@
 			g.applyMessage(h, reply.Message)
 			g.adoptEvacuations(h, reply.Evacuated, reply.From)
 			if reply.Newer != nil {
-				g.adoptConfig(h, reply.Newer, string(reply.From.Name))
+				g.adoptConfig(h, reply.Newer, string(reply.From.Name), received)
 			}
 			if reply.Upstreams != nil {
 				g.applyRelayedList(h, *reply.Upstreams, reply.Message)
--- a/instance/gateway/homes_test.go
+++ b/instance/gateway/homes_test.go
@@ -195,7 +195,7 @@
 			for i, r := range s.Hosts["h"] {
 				r.Homes = []zone.Region{zone.Region(fmt.Sprint(version, "-", i))}
 			}
-			g.adoptConfig(h, s, "test")
+			g.adoptConfig(h, s, "test", time.Now())
 			for _, path := range []string{"/stream/1", "/resumable/1"} {
 				checkRefusal(t, g.Forward(context.Background(), testMessage(path), &callerSink{}), contract.CodeNoUpstream, contract.RanNo)
 			}
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -48,7 +48,10 @@
 func (g *Gateway) readConfig(*table.HeldLocks) []pool.Effect {
 	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
 		update, err := g.registry.ReadConfig(ctx)
-		return func(h *table.HeldLocks) []pool.Effect { return g.afterConfigRead(h, update, err, g.readConfig) }
+		answered := g.clock.Now()
+		return func(h *table.HeldLocks) []pool.Effect {
+			return g.afterConfigRead(h, update, answered, err, g.readConfig)
+		}
 	})
 }
 
@@ -62,17 +65,21 @@
 	var seen uint64
 	g.config.With(h, func(c **configuration) { seen = (*c).seen })
 	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+		asked := g.clock.Now()
 		update, err := g.registry.WatchConfig(ctx, seen, wait)
+		answered := g.clock.Now()
 		if wait > 0 {
-			err = watchError(ctx, err)
+			err = watchError(ctx, answered.Sub(asked), err)
+		}
+		return func(h *table.HeldLocks) []pool.Effect {
+			return g.afterConfigRead(h, update, answered, err, g.pollConfig)
 		}
-		return func(h *table.HeldLocks) []pool.Effect { return g.afterConfigRead(h, update, err, g.pollConfig) }
 	})
 }
 
-// afterConfigRead applies the configuration that was read and continues to watch. After
-// a failure it schedules onError.
-func (g *Gateway) afterConfigRead(h *table.HeldLocks, update registry.ConfigUpdate, err error, onError pool.Step) []pool.Effect {
+// afterConfigRead applies the configuration that was read and continues to watch. answered is
+// when the read ended. After a failure it schedules onError.
+func (g *Gateway) afterConfigRead(h *table.HeldLocks, update registry.ConfigUpdate, answered time.Time, err error, onError pool.Step) []pool.Effect {
 	if errors.Is(err, registry.ErrHistoryGone) {
 		g.log.Info(string(eventHistoryGone), "what", feedConfig.String())
 		return g.readConfig(h)
@@ -95,20 +102,22 @@
 	// there.
 	g.changeEvacuations(h, "registry", func(e zone.Evacuations) zone.Evacuations { return e.Apply(update.Evacuations) })
 	if update.Newest != nil {
-		g.adoptConfig(h, update.Newest, "registry")
+		g.adoptConfig(h, update.Newest, "registry", answered)
 	}
 	return g.watchConfig(h)
 }
 
 // adoptConfig puts a configuration in force unless the current one is as new or newer.
-// from names its source in the log.
-func (g *Gateway) adoptConfig(h *table.HeldLocks, snapshot *directory.Snapshot, from string) {
+// from names its source in the log, received is when it arrived.
+func (g *Gateway) adoptConfig(h *table.HeldLocks, snapshot *directory.Snapshot, from string, received time.Time) {
 	adopted := false
+	var inForce time.Time
 	urgency := snapshot.Urgency()
 	g.config.With(h, func(c **configuration) {
 		if (*c).current == nil || snapshot.Version > (*c).current.Version {
 			(*c).current, (*c).urgency = snapshot, urgency
-			(*c).confirmedAt = g.clock.Now()
+			inForce = g.clock.Now()
+			(*c).confirmedAt = inForce
 			adopted = true
 		}
 	})
@@ -121,7 +130,7 @@
 		(*l).Retain(func(name directory.ServiceName) bool { return snapshot.Services[name] != nil })
 	})
 	g.applyColdRules(h, snapshot)
-	g.log.Info(string(eventConfig), "version", snapshot.Version, "from", from, "hosts", len(snapshot.Hosts),
+	g.log.Info(string(eventConfig), "version", snapshot.Version, "from", from, "apply_ms", inForce.Sub(received).Milliseconds(), "hosts", len(snapshot.Hosts),
 		"accounts", len(snapshot.Accounts), "services", len(snapshot.Services))
 	g.becomeReady(h)
 }
@@ -161,9 +170,10 @@
 	var seen uint64
 	g.members.With(h, func(m **members) { seen = (*m).listVersion })
 	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+		asked := g.clock.Now()
 		list, err := g.registry.WatchUpstreams(ctx, seen, wait)
 		if wait > 0 {
-			err = watchError(ctx, err)
+			err = watchError(ctx, g.clock.Now().Sub(asked), err)
 		}
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterUpstreamsRead(h, list, err, g.pollUpstreams) }
 	})
--- a/instance/gateway/retain_test.go
+++ b/instance/gateway/retain_test.go
@@ -67,7 +67,7 @@
 		for i := range uint64(configurations) {
 			s, list := newNames(10+i, names)
 			g.applyUpstreams(h, list, "test")
-			g.adoptConfig(h, s, "test")
+			g.adoptConfig(h, s, "test", time.Now())
 			useNames(g, h, s, list)
 			// Buckets are full again with the next configuration; budgets are idle after five.
 			time.Sleep(12 * time.Second)
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -44,11 +44,11 @@
 // have been lost in an outage that is over; a read shows whether the registry is down now.
 var errUnanswered = errors.New("gateway: no answer to a watch")
 
-// watchError returns the error of a call that waited for changes, wrapped in errUnanswered if
-// its context ended before the answer.
-func watchError(ctx context.Context, err error) error {
+// watchError returns the error of a call that waited for changes for the time waited, wrapped
+// in errUnanswered if its context ended before the answer.
+func watchError(ctx context.Context, waited time.Duration, err error) error {
 	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return fmt.Errorf("%w: %w", errUnanswered, err)
+		return fmt.Errorf("%w after %v: %w", errUnanswered, waited.Round(time.Millisecond), err)
 	}
 	return err
 }
