CONFIG: a watch of the configuration ends within the time after an outage

What callers saw: a revoked key worked, and an added route was refused with 404, for up to a second after the configuration was due.

Cause: the store loses a watch that it gets in an outage, and only the timeout of the watch shows it. The timeout left the time that a machine has after an outage plus the bound of a change (7 s with bounds of 4 s and 3 s). A change that is acknowledged as the outage ends is due when the former ends, after 4 s. Right after a change all gateways send their next watch at once, so peers cannot help. The list of upstreams is different: a removal counts from the end of that time, so its watch may wait as long as before.

Fix: the watch of the configuration, and the read after it, end within the longer of the two times: 2.3 s in place of 5.3 s, 1.3 s in place of 3.3 s with bounds of 3 s and 2 s.

TestWatchTimeout held the longer wait of the configuration; it holds the shorter one now, and that of the upstreams as it was. Price: 0.25 more calls a second for each gateway with bounds of 4 s and 3 s.

--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -57,7 +57,7 @@
 
 // watchConfig waits for the next configuration; pollConfig returns without waiting.
 func (g *Gateway) watchConfig(h *table.HeldLocks) []pool.Effect {
-	return g.readConfigSince(h, g.options.Changes.watchTimeout(g.options.Changes.Config))
+	return g.readConfigSince(h, g.options.Changes.configWatchTimeout())
 }
 func (g *Gateway) pollConfig(h *table.HeldLocks) []pool.Effect { return g.readConfigSince(h, 0) }
 
@@ -162,7 +162,7 @@
 // waiting. It is used after a failure, since only an immediate answer shows that the
 // registry is back.
 func (g *Gateway) watchUpstreams(h *table.HeldLocks) []pool.Effect {
-	return g.readUpstreamsSince(h, g.options.Changes.watchTimeout(g.options.Changes.Upstreams))
+	return g.readUpstreamsSince(h, g.options.Changes.upstreamsWatchTimeout())
 }
 func (g *Gateway) pollUpstreams(h *table.HeldLocks) []pool.Effect { return g.readUpstreamsSince(h, 0) }
 
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -25,19 +25,32 @@
 	// Config and Upstreams are those of the configuration and of the list of upstreams,
 	// counted from the registry's acknowledgement; 0 for no bound.
 	Config, Upstreams time.Duration
-	// Settle is how long after an outage of the registry they hold again.
+	// Settle is how long after an outage of the registry they hold again. A configuration
+	// that was acknowledged before that must be in force then, or after Config if that is
+	// later; an upstream that left before that counts as having left then.
 	Settle time.Duration
 }
 
-// watchTimeout returns how long a watch may wait for changes that must be in force within
-// bound. The registry loses a watch that it gets during an outage, and answers the next read
-// as if nothing had happened: only the timeout of the watch shows it. So it ends, and the
-// read after it is answered, before the first change after the outage is due.
-func (b ChangeBounds) watchTimeout(bound time.Duration) time.Duration {
+// configWatchTimeout returns how long a watch of the configuration may wait. The registry loses
+// a watch that it gets during an outage, and answers the next read as if nothing had happened:
+// only the timeout of the watch shows it. So it ends, and the read after it is answered, before
+// the first change after the outage is due.
+func (b ChangeBounds) configWatchTimeout() time.Duration {
+	return watchTimeout(b.Config, max(b.Config, b.Settle))
+}
+
+// upstreamsWatchTimeout is like configWatchTimeout for the list of upstreams.
+func (b ChangeBounds) upstreamsWatchTimeout() time.Duration {
+	return watchTimeout(b.Upstreams, b.Upstreams+b.Settle)
+}
+
+// watchTimeout returns how long a watch may wait if the first change that it misses is due at
+// the earliest due after it was sent; WatchTimeout if bound is 0.
+func watchTimeout(bound, due time.Duration) time.Duration {
 	if bound <= 0 {
 		return WatchTimeout
 	}
-	return min(WatchTimeout, max(minWatchTimeout, b.Settle+bound-WatchSlack-ReadTimeout))
+	return min(WatchTimeout, max(minWatchTimeout, due-WatchSlack-ReadTimeout))
 }
 
 // errUnanswered means that a watch got no answer, not even that nothing has changed. It may
--- a/instance/gateway/watch_test.go
+++ b/instance/gateway/watch_test.go
@@ -83,6 +83,49 @@
 	})
 }
 
+// TestChangeRightAfterOutageIsInForce guards against a late configuration after an outage in which all gateways lost their watch.
+func TestChangeRightAfterOutageIsInForce(t *testing.T) {
+	outages := []time.Duration{20 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second}
+	changes := []time.Duration{time.Millisecond, 350 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, 5 * time.Second}
+	for _, bounds := range []ChangeBounds{
+		testBounds,
+		{Config: 3 * time.Second, Upstreams: 3 * time.Second, Settle: 4 * time.Second},
+		{Config: 4 * time.Second, Upstreams: 4 * time.Second, Settle: 2 * time.Second},
+	} {
+		for _, outage := range outages {
+			for _, change := range changes {
+				t.Run(fmt.Sprint(bounds.Config, bounds.Settle, outage, change), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := testFleet()
+						f.changes = bounds
+						g1, g2 := f.start(t, "g1"), f.start(t, "g2")
+						defer g1.Close()
+						defer g2.Close()
+						synctest.Wait()
+						f.registry.change(func() {
+							f.registry.config = testConfig(2)
+							f.registry.silent = true
+						})
+						time.Sleep(outage)
+						f.registry.setSilent(false)
+						time.Sleep(change)
+						f.registry.change(func() {
+							f.registry.config = testConfig(3)
+							f.registry.config.Keys = map[contract.KeyHash]contract.AccountID{}
+						})
+						time.Sleep(max(bounds.Settle-change, bounds.Config))
+						synctest.Wait()
+						for _, g := range []*Gateway{g1, g2} {
+							refusal := g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
+							checkRefusal(t, refusal, contract.CodeKeyInvalid, contract.RanNo)
+						}
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestUnansweredWatchIsNoOutage guards against a lost watch that counts as an outage of the
 // registry when the read after it is answered: an upstream that left meanwhile would be taken
 // for one whose registration lapsed, and kept.
@@ -98,7 +141,7 @@
 		f.registry.setSilent(false)
 		time.Sleep(time.Second)
 		f.registry.quietly(func() { delete(f.registry.list, "s1") })
-		time.Sleep(g.options.Changes.watchTimeout(testBounds.Upstreams) + WatchSlack)
+		time.Sleep(g.options.Changes.upstreamsWatchTimeout() + WatchSlack)
 		synctest.Wait()
 		for range 20 {
 			g.Forward(context.Background(), plainMessage("/read/1"), &callerSink{})
@@ -113,15 +156,20 @@
 
 // TestWatchTimeout checks the waits that follow from the bounds of deployments.
 func TestWatchTimeout(t *testing.T) {
-	for _, c := range []struct{ bound, settle, want time.Duration }{
-		{0, 3 * time.Second, WatchTimeout},
-		{2 * time.Second, 3 * time.Second, 3300 * time.Millisecond},
-		{3 * time.Second, 4 * time.Second, 5300 * time.Millisecond},
-		{time.Minute, 0, WatchTimeout},
-		{time.Second, 0, minWatchTimeout},
+	for _, c := range []struct{ bound, settle, config, upstreams time.Duration }{
+		{0, 3 * time.Second, WatchTimeout, WatchTimeout},
+		{2 * time.Second, 3 * time.Second, 1300 * time.Millisecond, 3300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 2300 * time.Millisecond, 5300 * time.Millisecond},
+		{4 * time.Second, 2 * time.Second, 2300 * time.Millisecond, 4300 * time.Millisecond},
+		{time.Minute, 0, WatchTimeout, WatchTimeout},
+		{time.Second, 0, minWatchTimeout, minWatchTimeout},
 	} {
-		if got := (ChangeBounds{Settle: c.settle}).watchTimeout(c.bound); got != c.want {
-			t.Errorf("bound %v after %v: %v, want %v", c.bound, c.settle, got, c.want)
+		bounds := ChangeBounds{Config: c.bound, Upstreams: c.bound, Settle: c.settle}
+		if got := bounds.configWatchTimeout(); got != c.config {
+			t.Errorf("configuration, bound %v after %v: %v, want %v", c.bound, c.settle, got, c.config)
+		}
+		if got := bounds.upstreamsWatchTimeout(); got != c.upstreams {
+			t.Errorf("upstreams, bound %v after %v: %v, want %v", c.bound, c.settle, got, c.upstreams)
 		}
 	}
 }
