Versions of the store carry its era

A store that comes back from an older copy gives versions out again. A gateway that had read up to one of them never saw the changes which got those numbers: it kept a removed route and an upstream that had left; a list with a lower number was ignored; a process that had registered since the copy was missing for later ones; and fencing numbers of the lease for role orders fell.

Cause: versions were taken for one rising sequence. Only the header Store-Era tells that they have started over.

Fix: a version consists of the era and the number of the change, so that versions and fencing numbers rise across copies wherever they are compared, among peers too. A feed whose era has passed ends and everything is read again; upstreams missing in the copy are kept like after an outage; the process registers again; the lease is not taken until one that was lost has run out, and a write that matches a number of an earlier era by chance does not count.

--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -40,9 +40,11 @@
 	eventRegistryBack logMessage = "registry_back"
 	// eventWatchUnanswered: a watch of the registry got no answer; an immediate read follows.
 	eventWatchUnanswered logMessage = "registry_watch_unanswered"
-	eventPeerLost        logMessage = "peer_lost"
-	eventPeerBack        logMessage = "peer_back"
-	eventQuarantined     logMessage = "request_quarantined"
+	// eventRegistryRestored: the registry came back from an older copy of its data.
+	eventRegistryRestored logMessage = "registry_restored"
+	eventPeerLost         logMessage = "peer_lost"
+	eventPeerBack         logMessage = "peer_back"
+	eventQuarantined      logMessage = "request_quarantined"
 	// eventNotice: an upstream says that it leaves, or asks for a longer pause than before.
 	eventNotice logMessage = "upstream_notice"
 	// eventPace: the pace of an upstream that started or recovered has begun, has another
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -207,6 +207,21 @@
 	})
 }
 
+// enterAgain adds this process to the registry's list of gateways once more.
+func (g *Gateway) enterAgain(*table.HeldLocks) []pool.Effect {
+	self := registry.Entry{Name: string(g.options.Self.Name), Addr: g.options.Addr}
+	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
+		err := g.registry.Register(ctx, self)
+		return func(*table.HeldLocks) []pool.Effect {
+			if err != nil {
+				g.log.Warn(string(eventEnterFailed), "error", err)
+				g.pool.After(enterRetryDelay, g.enterAgain)
+			}
+			return nil
+		}
+	})
+}
+
 // enterRetryDelay is the pause after a failed entry. Until then peers are found through
 // the seeds.
 const enterRetryDelay = 3 * time.Second
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -204,21 +204,32 @@
 // applyUpstreams applies a change of the list of upstreams unless a later version is
 // known. from names its source in the log.
 func (g *Gateway) applyUpstreams(h *table.HeldLocks, list registry.Upstreams, from string) {
-	newer := false
+	newer, restored := false, false
 	var changes []roster.Change
 	g.members.With(h, func(m **members) {
 		if list.Version < (*m).listVersion {
 			return
 		}
 		newer = true
+		restored = (*m).listVersion > 0 && registry.EraOf(list.Version) > registry.EraOf((*m).listVersion)
 		(*m).listVersion = list.Version
 		// Under the same lock: a peer that is told this version gets this list, and lists are
 		// applied in the order of their versions.
-		g.board.With(h, func(b **roster.Board) { changes = (*b).Apply(g.clock.Now(), list) })
+		g.board.With(h, func(b **roster.Board) {
+			if restored {
+				(*b).RecordRestore(g.clock.Now())
+			}
+			changes = (*b).Apply(g.clock.Now(), list)
+		})
 	})
 	if !newer {
 		return
 	}
+	if restored {
+		g.log.Info(string(eventRegistryRestored), "list_version", list.Version, "from", from)
+		// The copy may be older than this process's entry.
+		g.pool.Enqueue(g.enterAgain)
+	}
 	g.logChanges(changes, from, list.Version)
 	g.forgetUpstreams(h, changes)
 	g.becomeReady(h)
--- a/instance/gateway/roles.go
+++ b/instance/gateway/roles.go
@@ -153,6 +153,9 @@
 		if lease.Holder != holder && lease.Holder != "" && lease.Age < g.options.LeaseTerm+ReadTimeout {
 			return func(h *table.HeldLocks) []pool.Effect { return g.endRoleOrders(h, "held by "+lease.Holder, nil) }
 		}
+		if !lease.RestoredAt.IsZero() && g.clock.Now().Sub(lease.RestoredAt) < g.options.LeaseTerm+ReadTimeout {
+			return func(h *table.HeldLocks) []pool.Effect { return g.endRoleOrders(h, "may be held by another", nil) }
+		}
 		requestedAt := g.clock.Now()
 		fencing, err := g.registry.WriteLease(ctx, rolesLease, lease, holder)
 		if err != nil {
--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -36,11 +36,13 @@
 	// to the version forgotten are no longer available to feeds.
 	loseAnswers bool
 	forgotten   uint64
+	// era is sent in all answers. It rises with each Restore.
+	era uint64
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[string]Row), changed: make(chan struct{}), startedAt: time.Now()}
+	return &Store{rows: make(map[string]Row), changed: make(chan struct{}), startedAt: time.Now(), era: 1}
 }
 
 // SetUnavailable makes the store refuse all calls with status 503, or accept them again.
@@ -117,6 +119,7 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	s.mu.Lock()
 	unavailable := s.unavailable
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -152,15 +155,22 @@
 	}
 	deadline := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer deadline.Stop()
+	s.mu.Lock()
+	era := s.era
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		rows, changed, unavailable := s.since(q.URL.Query().Get("table"), after, true), s.changed, s.unavailable
 		if unavailable {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if after < s.forgotten {
+		if after < s.forgotten || after > s.version {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -46,7 +46,7 @@
 
 // Upstreams holds changes to the list of upstreams, or the full list.
 type Upstreams struct {
-	// Version is the store's version up to which the changes are included.
+	// Version is the store's version up to which the changes are included, see VersionOf.
 	Version uint64
 	// Whole means that Present is the full list: all other upstreams are removed.
 	Whole bool
@@ -75,6 +75,9 @@
 	ReadAt time.Duration
 	// Age is the time since the last write, by the registry's clock.
 	Age time.Duration
+	// RestoredAt is when this process noticed that the registry had come back from an older
+	// copy, which may lack the last writes; zero if it has not.
+	RestoredAt time.Time
 }
 
 // Entry is one gateway process in the registry's list of gateways. It is unrelated to
@@ -96,8 +99,8 @@
 	// WatchConfig waits for changes of the configuration or the evacuated zones after a
 	// version, at most for wait.
 	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigUpdate, error)
-	// ReadLease returns a lease; ok is false if it was never written, and then
-	// only ReadAt is set.
+	// ReadLease returns a lease; ok is false if it was never written, and then Holder and
+	// Age are not set.
 	ReadLease(ctx context.Context, name string) (lease Lease, ok bool, err error)
 	// WriteLease writes a lease and returns its new fencing number. It fails with
 	// ErrConflict if the lease was written after read, and with ErrOutcomeUnknown if the
--- a/upstream/roster/roster.go
+++ b/upstream/roster/roster.go
@@ -152,6 +152,12 @@
 	}
 }
 
+// RecordRestore records that the registry came back from an older copy, which may lack upstreams
+// that registered since: like after an outage, those that are missing may register again.
+func (b *Board) RecordRestore(now time.Time) {
+	b.registryBackAt = now
+}
+
 // RecordSteadyPeer records that a peer, which knows of no outage of the registry, is about to
 // provide a newer list. Upstreams that are missing in it have left; those that left later are
 // missing in the next list of this process.
