--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -46,6 +46,9 @@
 	return slices.ContainsFunc(p.disturbed, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
 }
 
+// gatewayName is the name of a gateway by its number.
+func gatewayName(number int) string { return fmt.Sprintf("gateway-%d", number) }
+
 // newProcess writes the settings of a gateway and does not start it. Its peers are
 // others; store is the address of the registry, ports are those of the run.
 func newProcess(o Options, number int, store string, others []*process, ports *portRange) (*process, error) {
@@ -61,7 +64,7 @@
 	for _, p := range others {
 		peers = append(peers, fmt.Sprintf("%q", p.peerAddr))
 	}
-	name := fmt.Sprintf("gateway-%d", number)
+	name := gatewayName(number)
 	text := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeer = %q\nmetrics = %q\nregistry = %q\n"+
 		"peers = [%s]\nmemory = \"%dMB\"\ndescriptors = %d\nshutdown_limit = \"4s\"\n[cold]\nover = %v\nslack = %v\n", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "), gatewayMemoryMB, gatewayDescriptors, coldOver, coldSlack)
 	p := &process{
