Cold rules follow from the newest configuration

Cause: a configuration from the registry and one from a peer may be applied at once; the newer one wins, but the steps after it had no order, and the cold rules of the older one could remain until the next change. Found by reading, while looking for configurations that come back older; no run has shown it.

Evidence: TestColdRulesNeverGoBack fails without the check (500 requests a second after version 7, want 20).

--- a/instance/gateway/pace.go
+++ b/instance/gateway/pace.go
@@ -41,7 +41,7 @@
 			}}
 		}
 	}
-	g.board.With(h, func(b **roster.Board) { (*b).SetColdRules(g.options.Self.Name, rules) })
+	g.board.With(h, func(b **roster.Board) { (*b).SetColdRules(snapshot.Version, g.options.Self.Name, rules) })
 	g.updateFleets(h, g.clock.Now())
 }
 
--- a/upstream/roster/cold.go
+++ b/upstream/roster/cold.go
@@ -24,9 +24,13 @@
 	Sent, Denied uint64
 }
 
-// SetColdRules replaces the rules of all services. self is this gateway.
-func (b *Board) SetColdRules(self instance.Name, rules map[directory.ServiceName]ColdRule) {
-	b.pace.cold = rules
+// SetColdRules replaces the rules of all services by those of a version of the configuration,
+// unless they are of a later one. self is this gateway.
+func (b *Board) SetColdRules(version uint64, self instance.Name, rules map[directory.ServiceName]ColdRule) {
+	if version < b.pace.coldVersion {
+		return
+	}
+	b.pace.cold, b.pace.coldVersion = rules, version
 	for service := range b.pace.fleets {
 		if _, ok := rules[service]; !ok {
 			delete(b.pace.fleets, service)
--- a/upstream/roster/pace.go
+++ b/upstream/roster/pace.go
@@ -15,8 +15,10 @@
 
 // paceRules holds the rules for cold upstreams and the gateways that share them, by service.
 type paceRules struct {
-	cold   map[directory.ServiceName]ColdRule
-	fleets map[directory.ServiceName]*pace.Fleet
+	cold map[directory.ServiceName]ColdRule
+	// coldVersion is the version of the configuration that cold follows from.
+	coldVersion uint64
+	fleets      map[directory.ServiceName]*pace.Fleet
 	// everyone is the gateways with equal weights, nil until they are known.
 	everyone *pace.Fleet
 	// usual is the time that answers of settled upstreams take.
--- a/upstream/roster/pace_test.go
+++ b/upstream/roster/pace_test.go
@@ -17,7 +17,7 @@
 const testWarmup = 3 * time.Second
 
 func setColdRules(b *Board) {
-	b.SetColdRules("g", map[directory.ServiceName]ColdRule{"s": {For: testWarmup, Limit: pace.Limit{PerSecond: 20, Over: 1.5, Slack: 5}}})
+	b.SetColdRules(1, "g", map[directory.ServiceName]ColdRule{"s": {For: testWarmup, Limit: pace.Limit{PerSecond: 20, Over: 1.5, Slack: 5}}})
 	b.UpdateFleet(start, "s", 0, true, nil)
 }
 
@@ -31,6 +31,23 @@
 	return left
 }
 
+// TestColdRulesNeverGoBack guards against two configurations that are applied at once and leave the rules of the older one.
+func TestColdRulesNeverGoBack(t *testing.T) {
+	b := NewBoard(zone.Place{})
+	rules := func(perSecond float64) map[directory.ServiceName]ColdRule {
+		return map[directory.ServiceName]ColdRule{"s": {For: testWarmup, Limit: pace.Limit{PerSecond: perSecond, Over: 1}}}
+	}
+	b.SetColdRules(7, "g", rules(20))
+	b.SetColdRules(6, "g", rules(500))
+	if got := b.pace.cold["s"].Limit.PerSecond; got != 20 {
+		t.Errorf("%v requests a second after version 7, want 20", got)
+	}
+	b.SetColdRules(8, "g", rules(30))
+	if got := b.pace.cold["s"].Limit.PerSecond; got != 30 {
+		t.Errorf("%v requests a second after version 8, want 30", got)
+	}
+}
+
 // TestColdTime guards against an upstream that gets its full load while it is cold, and
 // against warm ones that are taken for cold when this process starts.
 func TestColdTime(t *testing.T) {
