Role orders stay with their last holder while it lives

Cause: since leases age, a gateway took the orders over from a living one that saw no need of any.

Fix: the lease of a peer that is heard and reads the registry is not taken, also when it has run out; when the peer is silent or cut off, it is.

Evidence: TestLivingHolderKeepsRoleOrders fails without the condition.

--- a/instance/gateway/fleet_test.go
+++ b/instance/gateway/fleet_test.go
@@ -228,6 +228,36 @@
 	})
 }
 
+// TestLivingHolderKeepsRoleOrders guards against gateways that take turns with the orders, and undo each other's, after each lease that ran out.
+func TestLivingHolderKeepsRoleOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		delete(f.registry.list, "d1")
+		delete(f.registry.list, "d2")
+		f.runners.report.Role = upstream.RolePrefill
+		f.registry.lease = registry.Lease{Holder: "g2", Fencing: 9}
+		f.registry.leaseAt = time.Now().Add(-time.Hour)
+		g2 := f.start(t, "g2")
+		defer g2.Close()
+		synctest.Wait()
+		// The holder orders nothing while it is not ready.
+		g2.Drain()
+		g1 := f.start(t, "g1")
+		defer g1.Close()
+		time.Sleep(8 * time.Second)
+		if orders := f.runners.allOrders(); len(orders) != 0 {
+			t.Errorf("%d orders by %s while the last holder lives", len(orders), orders[0].Holder)
+		}
+		f.peers.mu.Lock()
+		f.peers.cut["g2"] = true
+		f.peers.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		if len(f.runners.allOrders()) == 0 || f.runners.allOrders()[0].Holder != "g1" {
+			t.Errorf("orders %+v after the last holder was lost", f.runners.allOrders())
+		}
+	})
+}
+
 // TestNoWorkDuringRoleChange checks that a gateway sends no work to an engine whose role
 // change was ordered by a peer.
 func TestNoWorkDuringRoleChange(t *testing.T) {
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -166,6 +166,16 @@
 	return out
 }
 
+// readingPeers returns the peers with a message within quota.SilentAfter that can read the
+// registry.
+func (m *members) readingPeers(now time.Time) map[instance.Name]bool {
+	out := make(map[instance.Name]bool)
+	for name, p := range m.peers {
+		out[name] = !p.away && now.Sub(p.lastHeard) <= quota.SilentAfter
+	}
+	return out
+}
+
 // duePeers returns the peers to start an exchange with, at most MaxExchanges, the least
 // recent exchange first. Of each pair the gateway with the lower name starts; the other
 // one starts only if no message has arrived for half of quota.SilentAfter.
--- a/instance/gateway/roles.go
+++ b/instance/gateway/roles.go
@@ -76,7 +76,7 @@
 	if !start {
 		return nil
 	}
-	return g.takeLease(changes)
+	return g.takeLease(h, changes)
 }
 
 // dueChanges leaves out engines with an order within MinOrderInterval.
@@ -142,15 +142,19 @@
 }
 
 // takeLease takes the lease, unless another gateway may still hold it, and then sends
-// the orders.
-func (g *Gateway) takeLease(changes []split.Change) []pool.Effect {
+// the orders. The last holder keeps the duty while it can do it, also when its lease has run
+// out: gateways see different loads, and two of them would undo each other's orders.
+func (g *Gateway) takeLease(h *table.HeldLocks, changes []split.Change) []pool.Effect {
 	holder := string(g.options.Self.Name)
+	var able map[instance.Name]bool
+	g.members.With(h, func(m **members) { able = (*m).readingPeers(g.clock.Now()) })
 	return registryCall(2*ReadTimeout, func(ctx context.Context) pool.Step {
 		lease, _, err := g.registry.ReadLease(ctx, rolesLease)
 		if err != nil {
 			return func(h *table.HeldLocks) []pool.Effect { return g.endRoleOrders(h, "lease not read", err) }
 		}
-		if lease.Holder != holder && lease.Holder != "" && lease.Age < g.options.LeaseTerm+ReadTimeout {
+		mayHold := lease.Age < g.options.LeaseTerm+ReadTimeout || able[instance.Name(lease.Holder)]
+		if lease.Holder != holder && lease.Holder != "" && mayHold {
 			return func(h *table.HeldLocks) []pool.Effect { return g.endRoleOrders(h, "held by "+lease.Holder, nil) }
 		}
 		if !lease.RestoredAt.IsZero() && g.clock.Now().Sub(lease.RestoredAt) < g.options.LeaseTerm+ReadTimeout {
