--- a/link/httpconn/endless_test.go
+++ b/link/httpconn/endless_test.go
@@ -35,7 +35,7 @@
 		"chunk length":                       {Head: chunkedHead, Repeat: "0"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := New(Options{})
+			p := New(Options{DialTimeout: endlesstest.Patience})
 			defer p.Close()
 			addr := endlesstest.Serve(t, a, false)
 			endlesstest.Check(t, func() {
@@ -61,7 +61,7 @@
 		"lines":    {Head: chunkless, Repeat: "data: data data data data data data data data data\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			p := New(Options{})
+			p := New(Options{DialTimeout: endlesstest.Patience})
 			defer p.Close()
 			addr := endlesstest.Serve(t, a, false)
 			endlesstest.Check(t, func() {
@@ -95,7 +95,7 @@
 		body[i] = 'b'
 	}
 	s := serve(t, []string{"HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 196608\r\n\r\n" + string(body), okFirst})
-	p := New(Options{})
+	p := New(Options{DialTimeout: endlesstest.Patience})
 	defer p.Close()
 	got, err := exchangeOne(p, s.addr, "1")
 	if err != nil || got != string(body) {
@@ -112,7 +112,7 @@
 // TestEndlessClosesConnection checks that the connection is closed at once, which makes the
 // server stop.
 func TestEndlessClosesConnection(t *testing.T) {
-	p := New(Options{})
+	p := New(Options{DialTimeout: endlesstest.Patience})
 	defer p.Close()
 	addr := endlesstest.Serve(t, endlesstest.Answer{Repeat: "x"}, false)
 	_, err := p.Do(context.Background(), addr, &Request{Method: "GET", Target: "/", Host: "h", Header: http.Header{}})
@@ -137,7 +137,7 @@
 			_, _ = server.Write(sent)
 			_ = server.Close()
 		}()
-		p := New(Options{})
+		p := New(Options{DialTimeout: endlesstest.Patience})
 		defer p.Close()
 		x := &exchange{pool: p, conn: p.adopt(client, "a"), stop: func() bool { return true }}
 		if err := x.send(request("1")); err != nil {
