A whole read that contradicts itself is repeated after a pause

Cause: since versions carry the store's era, a read of everything may fail as if its history were gone (pages of two eras, a late answer of an earlier one), and that error was answered by another whole read at once: a store whose answers change between eras would be read without end. Found by reading the change.

--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -48,6 +48,7 @@
 func (g *Gateway) readConfig(*table.HeldLocks) []pool.Effect {
 	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
 		update, err := g.registry.ReadConfig(ctx)
+		err = wholeReadError(err)
 		answered := g.clock.Now()
 		return func(h *table.HeldLocks) []pool.Effect {
 			return g.afterConfigRead(h, update, answered, err, g.readConfig)
@@ -154,6 +155,7 @@
 func (g *Gateway) readUpstreams(*table.HeldLocks) []pool.Effect {
 	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
 		list, err := g.registry.ReadUpstreams(ctx)
+		err = wholeReadError(err)
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterUpstreamsRead(h, list, err, g.readUpstreams) }
 	})
 }
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/trefoilwalk/trefoilwalk/link/registry"
 )
 
 // Times of the watches of the registry.
@@ -57,6 +59,16 @@
 // have been lost in an outage that is over; a read shows whether the registry is down now.
 var errUnanswered = errors.New("gateway: no answer to a watch")
 
+// wholeReadError returns the error of a read that has no starting version. Without the history
+// that it does not need, the registry has contradicted itself: the read is tried again after a
+// pause like after any failure, not at once.
+func wholeReadError(err error) error {
+	if errors.Is(err, registry.ErrHistoryGone) {
+		return fmt.Errorf("gateway: whole read: %v", err)
+	}
+	return err
+}
+
 // watchError returns the error of a call that waited for changes for the time waited, wrapped
 // in errUnanswered if its context ended before the answer.
 func watchError(ctx context.Context, waited time.Duration, err error) error {
