--- a/link/registry/version.go
+++ b/link/registry/version.go
@@ -4,8 +4,10 @@
 // its data gives versions out again, so a version consists of the era, which rises each time
 // that happens, and the number of the change in that era. Fencing numbers are versions.
 
-// eraShift leaves 40 bits for the number of a change and 24 for the era.
-const eraShift = 40
+// EraBits is the size of an era in a version; 40 bits are left for the number of a change.
+const EraBits = 24
+
+const eraShift = 64 - EraBits
 
 // VersionOf returns the version of a change in an era. Era 0 is that of a registry that states
 // none.
