Logs and metrics tell how a configuration arrives and what fills a link

The record of the large configuration does not tell whether reads from the store or replies of peers fill the links of gateways, nor how long a configuration takes to be decoded.

--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -31,6 +31,8 @@
 // Events that change the process's view of the fleet, the configuration or itself.
 const (
 	eventConfig logMessage = "configuration_in_force"
+	// eventConfigRead: the registry has sent a configuration.
+	eventConfigRead logMessage = "configuration_read"
 	// eventEvacuations: zones were evacuated, or the evacuation was revoked.
 	eventEvacuations logMessage = "zones_evacuated"
 	eventUpstream    logMessage = "upstream_changed"
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -68,6 +68,7 @@
 					}
 				}
 			})
+			g.metrics.recordExchange(err)
 			if err != nil {
 				g.log.Debug("exchange failed", "address", to.Addr, "error", err)
 				return nil
@@ -129,6 +130,7 @@
 		reply := relay.Reply{Message: g.buildMessage(h, m.From.Name)}
 		if snapshot := g.snapshot(h); snapshot != nil && snapshot.Version > m.Config {
 			reply.Newer = snapshot
+			g.metrics.recordConfigSent()
 		}
 		reply.Evacuated = g.evacuationsFor(h, m)
 		if m.Away && reply.List > m.List {
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -94,6 +94,8 @@
 	// routes are those of the configuration in force; nil until one is known.
 	routes map[contract.RouteName]bool
 	names  NameCounts
+	// exchanges are those that this process started.
+	exchanges ExchangeCounts
 	// noRoom counts the requests that were refused because they would wait in vain, by rank.
 	noRoom [directory.MaxRanks]uint64
 }
@@ -104,6 +106,28 @@
 	m.noRoom[min(rank, len(m.noRoom)-1)]++
 }
 
+// ExchangeCounts counts the exchanges with peers that a process started, by their results, and
+// the configurations that it sent in replies.
+type ExchangeCounts struct {
+	Completed, Failed, ConfigsSent uint64
+}
+
+func (m *Metrics) recordExchange(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.exchanges.Failed++
+		return
+	}
+	m.exchanges.Completed++
+}
+
+func (m *Metrics) recordConfigSent() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.exchanges.ConfigsSent++
+}
+
 // NoticeCounts counts the answers of upstreams that said that they leave, and those that
 // asked for a pause.
 type NoticeCounts struct {
@@ -262,6 +286,7 @@
 	NoRoom     [directory.MaxRanks]uint64
 	Exclusions ExclusionCounts
 	Names      NameCounts
+	Exchanges  ExchangeCounts
 	// ServiceLevels are the service levels by route, over several windows.
 	ServiceLevels burn.Snapshot
 }
@@ -285,6 +310,7 @@
 		NoRoom:         m.noRoom,
 		Exclusions:     m.exclusions,
 		Names:          m.names,
+		Exchanges:      m.exchanges,
 		ServiceLevels:  m.serviceLevels.Snapshot(now, ""),
 	}
 }
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -103,6 +103,8 @@
 	// there.
 	g.changeEvacuations(h, "registry", func(e zone.Evacuations) zone.Evacuations { return e.Apply(update.Evacuations) })
 	if update.Newest != nil {
+		g.log.Info(string(eventConfigRead), "version", update.Newest.Version, "bytes", update.Transfer.Bytes,
+			"transfer_ms", update.Transfer.Took.Milliseconds(), "decode_ms", update.Transfer.Decode.Milliseconds())
 		g.adoptConfig(h, update.Newest, "registry", answered)
 	}
 	return g.watchConfig(h)
--- a/link/httpconn/descriptors.go
+++ b/link/httpconn/descriptors.go
@@ -58,10 +58,16 @@
 	return c, err
 }
 
-// underlying returns the connection that a countedConn holds.
-func underlying(c any) any {
-	if counted, ok := c.(*countedConn); ok {
-		return counted.Conn
+// NetConn returns the connection that is counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
+// underlying returns the connection inside of those that count its bytes or descriptor.
+func underlying(c net.Conn) net.Conn {
+	for {
+		counted, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return c
+		}
+		c = counted.NetConn()
 	}
-	return c
 }
--- a/link/httpconn/idle.go
+++ b/link/httpconn/idle.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"net"
 	"slices"
 	"syscall"
 	"time"
@@ -258,7 +259,7 @@
 }
 
 // descriptorOf returns the descriptor of a connection, -1 if it has none.
-func descriptorOf(c any) int {
+func descriptorOf(c net.Conn) int {
 	raw, ok := underlying(c).(syscall.Conn)
 	if !ok {
 		return -1
--- a/link/httpconn/pool.go
+++ b/link/httpconn/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/trefoilwalk/trefoilwalk/link/bytecount"
 )
 
 // Options configure a pool; zero fields take the defaults.
@@ -32,6 +34,8 @@
 	MaxIdleTotal int
 	// Descriptors bounds the open connections; nil for no bound.
 	Descriptors Descriptors
+	// Bytes counts the bytes of the connections that Do opens; nil for no count.
+	Bytes *bytecount.Counter
 	// UserTimeout closes a connection whose sent bytes are not acknowledged for
 	// this long (TCP_USER_TIMEOUT).
 	UserTimeout time.Duration
@@ -171,6 +175,7 @@
 
 // adopt makes an opened connection one of the pool's, which is in use.
 func (p *Pool) adopt(raw net.Conn, addr string) *conn {
+	raw = p.options.Bytes.Conn(raw)
 	limit := &readLimit{reader: raw}
 	c := &conn{Conn: raw, reader: bufio.NewReader(limit), limit: limit, fd: descriptorOf(raw)}
 	p.mu.Lock()
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -64,6 +64,21 @@
 	// Evacuations is what the read shows of the evacuated zones, with the same Version. It
 	// is whole if the read had no starting version.
 	Evacuations zone.EvacuationUpdate
+	// Transfer describes how the answer arrived.
+	Transfer Transfer
+}
+
+// Transfer describes how an answer arrived.
+type Transfer struct {
+	// Bytes is the length of the answer.
+	Bytes int
+	// Took is the time from the head of the answer to its end, Decode that to decode it.
+	Took, Decode time.Duration
+}
+
+// Add returns the transfer of two answers that were read one after the other.
+func (t Transfer) Add(other Transfer) Transfer {
+	return Transfer{t.Bytes + other.Bytes, t.Took + other.Took, t.Decode + other.Decode}
 }
 
 // Lease is a row that one process holds at a time. Its fencing number rises with
