Stand-in of the store: a caller that reads slowly does not stop it

Answers were written with the store's lock held: while one gateway read a large configuration over a narrow link, no other call was answered.

--- a/internal/standin/userplatform/store.go
+++ b/internal/standin/userplatform/store.go
@@ -128,8 +128,9 @@
 	switch q.URL.Path {
 	case "/trefoilwalk/rows-get":
 		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.writeRows(w, s.since(q.URL.Query().Get("table"), 0, false))
+		rows := s.rowsText(s.since(q.URL.Query().Get("table"), 0, false))
+		s.mu.Unlock()
+		_, _ = w.Write(rows)
 	case "/trefoilwalk/rows-feed":
 		s.feed(w, q)
 	case "/trefoilwalk/rows-tx":
@@ -139,10 +140,15 @@
 	}
 }
 
-// writeRows writes rows and the store's version; the caller holds mu.
-func (s *Store) writeRows(w http.ResponseWriter, rows []Row) {
+// rowsText returns an answer with rows and the store's version. The caller holds mu, and
+// writes the answer without it: a caller that reads slowly must not stop the store.
+func (s *Store) rowsText(rows []Row) []byte {
 	body := map[string]any{"rows": rows, "has_more": false, "row_version": s.version, "now_ms": time.Since(s.startedAt).Milliseconds()}
-	_ = json.NewEncoder(w).Encode(body)
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	return text
 }
 
 // feed returns the changes after a version. Without any, it waits up to wait_ms.
@@ -176,8 +182,9 @@
 			return
 		}
 		if len(rows) > 0 || wait == 0 {
-			s.writeRows(w, rows)
+			text := s.rowsText(rows)
 			s.mu.Unlock()
+			_, _ = w.Write(text)
 			return
 		}
 		s.mu.Unlock()
@@ -203,26 +210,34 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	status, text := s.apply(tx.Expect, tx.Puts, tx.Delete)
+	if text == nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(text)
+}
+
+// apply applies a transaction and returns its answer, nil if that is lost.
+func (s *Store) apply(expect, puts, remove []Row) (status int, text []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, e := range append(tx.Expect, tx.Delete...) {
+	for _, e := range append(expect, remove...) {
 		if s.rows[e.Table+"/"+e.Key].Version != e.Version {
-			w.WriteHeader(http.StatusPreconditionFailed)
-			s.writeRows(w, nil)
-			return
+			return http.StatusPreconditionFailed, s.rowsText(nil)
 		}
 	}
 	s.version++
-	for _, r := range tx.Puts {
+	for _, r := range puts {
 		r.Version = s.version
 		s.rows[r.Table+"/"+r.Key] = r
 	}
-	for _, r := range tx.Delete {
+	for _, r := range remove {
 		s.rows[r.Table+"/"+r.Key] = Row{Table: r.Table, Key: r.Key, Version: s.version, Removed: true}
 	}
 	s.wakeFeeds()
 	if s.loseAnswers {
-		panic(http.ErrAbortHandler)
+		return 0, nil
 	}
-	s.writeRows(w, nil)
+	return http.StatusOK, s.rowsText(nil)
 }
