CONFIG: a read of the registry goes on while its answer arrives

Cause: the time for a read did not depend on the length of its answer. A watch ended at a fixed time, also while its answer arrived; the read after it had 0.7 s for everything, a whole read 1 s. What had arrived was thrown away, and the next read began anew.

Fix: a read ends when its answer has not begun in time, or pauses for a second (package progress); 20 s for all of it bound an answer that trickles. All reads of lists and configurations from the store do so.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -146,6 +146,8 @@
 	urgency *directory.Urgency
 	// seen is the registry version up to which the configuration was read.
 	seen uint64
+	// readTook is the time that the last configuration took to arrive and be decoded.
+	readTook time.Duration
 	// confirmedAt is when current was last known to be the newest.
 	confirmedAt time.Time
 	// evacuations are the evacuated zones, which the operator sets beside the
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -10,6 +10,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/upstream/roster"
 	"github.com/trefoilwalk/trefoilwalk/upstream/shortage"
@@ -19,9 +20,13 @@
 
 // Times of the registry reads.
 const (
-	// ReadTimeout bounds one read of the registry that is not a watch. Taking a lease
-	// is a read and a write and may last twice as long.
+	// ReadTimeout bounds one call to the registry that is not a watch until its answer
+	// begins. Taking a lease is a read and a write and may last twice as long.
 	ReadTimeout = time.Second
+	// AnswerPause is the longest pause in an answer that is arriving. LongestAnswer bounds
+	// all of it: 4 MB at a sixth of 10 Mbit/s.
+	AnswerPause   = time.Second
+	LongestAnswer = 20 * time.Second
 	// ReadRetryDelay is the pause after a failed call. Refused calls are billed
 	// too, but changes must be seen within two seconds of the registry's return.
 	ReadRetryDelay = 400 * time.Millisecond
@@ -35,7 +40,7 @@
 	}
 }
 
-// registryCall makes an effect of a blocking call to the registry.
+// registryCall makes an effect of a blocking call to the registry with a short answer.
 func registryCall(timeout time.Duration, call func(ctx context.Context) pool.Step) []pool.Effect {
 	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -44,9 +49,19 @@
 	}}}
 }
 
+// registryRead makes an effect of a read whose answer may be long. It ends if the answer has
+// not begun after the time first, or pauses.
+func registryRead(first time.Duration, read func(ctx context.Context) pool.Step) []pool.Effect {
+	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
+		ctx, call := progress.Start(ctx, progress.Limits{First: first, Quiet: AnswerPause, Total: LongestAnswer})
+		defer call.End()
+		return read(ctx)
+	}}}
+}
+
 // readConfig reads the newest configuration without a starting version.
 func (g *Gateway) readConfig(*table.HeldLocks) []pool.Effect {
-	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
+	return registryRead(ReadTimeout, func(ctx context.Context) pool.Step {
 		update, err := g.registry.ReadConfig(ctx)
 		err = wholeReadError(err)
 		answered := g.clock.Now()
@@ -58,14 +73,16 @@
 
 // watchConfig waits for the next configuration; pollConfig returns without waiting.
 func (g *Gateway) watchConfig(h *table.HeldLocks) []pool.Effect {
-	return g.readConfigSince(h, g.options.Changes.configWatchTimeout())
+	var lastRead time.Duration
+	g.config.With(h, func(c **configuration) { lastRead = (*c).readTook })
+	return g.readConfigSince(h, g.options.Changes.configWatchTimeout(lastRead))
 }
 func (g *Gateway) pollConfig(h *table.HeldLocks) []pool.Effect { return g.readConfigSince(h, 0) }
 
 func (g *Gateway) readConfigSince(h *table.HeldLocks, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.config.With(h, func(c **configuration) { seen = (*c).seen })
-	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+	return registryRead(wait+WatchSlack, func(ctx context.Context) pool.Step {
 		asked := g.clock.Now()
 		update, err := g.registry.WatchConfig(ctx, seen, wait)
 		answered := g.clock.Now()
@@ -97,6 +114,9 @@
 	now := g.clock.Now()
 	g.config.With(h, func(c **configuration) {
 		(*c).seen = max((*c).seen, update.Version)
+		if update.Newest != nil {
+			(*c).readTook = update.Transfer.Took + update.Transfer.Decode
+		}
 		(*c).confirmedAt = now
 	})
 	// Evacuated zones come first: a request that the new configuration lets in must not go
@@ -155,7 +175,7 @@
 
 // readUpstreams reads the complete list of upstreams.
 func (g *Gateway) readUpstreams(*table.HeldLocks) []pool.Effect {
-	return registryCall(ReadTimeout, func(ctx context.Context) pool.Step {
+	return registryRead(ReadTimeout, func(ctx context.Context) pool.Step {
 		list, err := g.registry.ReadUpstreams(ctx)
 		err = wholeReadError(err)
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterUpstreamsRead(h, list, err, g.readUpstreams) }
@@ -173,7 +193,7 @@
 func (g *Gateway) readUpstreamsSince(h *table.HeldLocks, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.members.With(h, func(m **members) { seen = (*m).listVersion })
-	return registryCall(wait+WatchSlack, func(ctx context.Context) pool.Step {
+	return registryRead(wait+WatchSlack, func(ctx context.Context) pool.Step {
 		asked := g.clock.Now()
 		list, err := g.registry.WatchUpstreams(ctx, seen, wait)
 		if wait > 0 {
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -36,23 +36,29 @@
 // configWatchTimeout returns how long a watch of the configuration may wait. The registry loses
 // a watch that it gets during an outage, and answers the next read as if nothing had happened:
 // only the timeout of the watch shows it. So it ends, and the read after it is answered, before
-// the first change after the outage is due.
-func (b ChangeBounds) configWatchTimeout() time.Duration {
-	return watchTimeout(b.Config, max(b.Config, b.Settle))
+// the first change after the outage is due. lastRead is the time that the last configuration
+// took to arrive and be decoded.
+func (b ChangeBounds) configWatchTimeout(lastRead time.Duration) time.Duration {
+	return watchTimeout(b.Config, max(b.Config, b.Settle), max(ReadTimeout, readMargin*lastRead/100))
 }
 
-// upstreamsWatchTimeout is like configWatchTimeout for the list of upstreams.
+// upstreamsWatchTimeout is like configWatchTimeout for the list of upstreams, of which a read
+// brings only the changes.
 func (b ChangeBounds) upstreamsWatchTimeout() time.Duration {
-	return watchTimeout(b.Upstreams, b.Upstreams+b.Settle)
+	return watchTimeout(b.Upstreams, b.Upstreams+b.Settle, ReadTimeout)
 }
 
+// readMargin is the time that is kept for the next configuration, in percent of the last one.
+const readMargin = 150
+
 // watchTimeout returns how long a watch may wait if the first change that it misses is due at
-// the earliest due after it was sent; WatchTimeout if bound is 0.
-func watchTimeout(bound, due time.Duration) time.Duration {
+// the earliest due after it was sent, and the read after it takes the time read; WatchTimeout if
+// bound is 0.
+func watchTimeout(bound, due, read time.Duration) time.Duration {
 	if bound <= 0 {
 		return WatchTimeout
 	}
-	return min(WatchTimeout, max(minWatchTimeout, due-WatchSlack-ReadTimeout))
+	return min(WatchTimeout, max(minWatchTimeout, due-WatchSlack-read))
 }
 
 // errUnanswered means that a watch got no answer, not even that nothing has changed. It may
@@ -72,7 +78,7 @@
 // watchError returns the error of a call that waited for changes for the time waited, wrapped
 // in errUnanswered if its context ended before the answer.
 func watchError(ctx context.Context, waited time.Duration, err error) error {
-	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return fmt.Errorf("%w after %v: %w", errUnanswered, waited.Round(time.Millisecond), err)
 	}
 	return err
--- a/instance/gateway/watch_test.go
+++ b/instance/gateway/watch_test.go
@@ -156,16 +156,19 @@
 
 // TestWatchTimeout checks the waits that follow from the bounds of deployments.
 func TestWatchTimeout(t *testing.T) {
-	for _, c := range []struct{ bound, settle, config, upstreams time.Duration }{
-		{0, 3 * time.Second, WatchTimeout, WatchTimeout},
-		{2 * time.Second, 3 * time.Second, 1300 * time.Millisecond, 3300 * time.Millisecond},
-		{3 * time.Second, 4 * time.Second, 2300 * time.Millisecond, 5300 * time.Millisecond},
-		{4 * time.Second, 2 * time.Second, 2300 * time.Millisecond, 4300 * time.Millisecond},
-		{time.Minute, 0, WatchTimeout, WatchTimeout},
-		{time.Second, 0, minWatchTimeout, minWatchTimeout},
+	for _, c := range []struct{ bound, settle, lastRead, config, upstreams time.Duration }{
+		{0, 3 * time.Second, 0, WatchTimeout, WatchTimeout},
+		{2 * time.Second, 3 * time.Second, 0, 1300 * time.Millisecond, 3300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 0, 2300 * time.Millisecond, 5300 * time.Millisecond},
+		{4 * time.Second, 2 * time.Second, 0, 2300 * time.Millisecond, 4300 * time.Millisecond},
+		{time.Minute, 0, 0, WatchTimeout, WatchTimeout},
+		{time.Second, 0, 0, minWatchTimeout, minWatchTimeout},
+		{3 * time.Second, 4 * time.Second, 600 * time.Millisecond, 2300 * time.Millisecond, 5300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond, 5300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 5 * time.Second, minWatchTimeout, 5300 * time.Millisecond},
 	} {
 		bounds := ChangeBounds{Config: c.bound, Upstreams: c.bound, Settle: c.settle}
-		if got := bounds.configWatchTimeout(); got != c.config {
+		if got := bounds.configWatchTimeout(c.lastRead); got != c.config {
 			t.Errorf("configuration, bound %v after %v: %v, want %v", c.bound, c.settle, got, c.config)
 		}
 		if got := bounds.upstreamsWatchTimeout(); got != c.upstreams {
