CONFIG: a gateway that is behind gets one copy of the state, not one of each peer

Callers of gateways with narrow links were served by old configurations, or got 404 on routes that had been added; their gateways lost sight of each other for as long.

Cause: each reply to a gateway that was behind carried the whole configuration. A gateway starts up to 13 exchanges every half second and ends each after 0.4 s: the copies filled its link, none arrived, and the store's answer got what was left. The longer it took, the more peers had the configuration to send. The list of upstreams went the same way to gateways that could not read the store.

Fix: messages carry versions only. A gateway fetches what it lacks from one peer at a time, on a connection of its own, and not while the store's answer is arriving (package catchup); a gateway serves four fetches at a time.

--- a/instance/gateway/events.go
+++ b/instance/gateway/events.go
@@ -46,7 +46,11 @@
 	eventRegistryRestored logMessage = "registry_restored"
 	eventPeerLost         logMessage = "peer_lost"
 	eventPeerBack         logMessage = "peer_back"
-	eventQuarantined      logMessage = "request_quarantined"
+	// eventFetched and eventFetchFailed: state that this process lacked was fetched from a
+	// peer, or could not be.
+	eventFetched     logMessage = "state_fetched"
+	eventFetchFailed logMessage = "fetch_failed"
+	eventQuarantined logMessage = "request_quarantined"
 	// eventNotice: an upstream says that it leaves, or asks for a longer pause than before.
 	eventNotice logMessage = "upstream_notice"
 	// eventPace: the pace of an upstream that started or recovered has begun, has another
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"github.com/trefoilwalk/trefoilwalk/instance"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
-	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
 	"github.com/trefoilwalk/trefoilwalk/upstream/quarantine"
@@ -29,7 +28,7 @@
 		m.From = (*own).self
 		m.List = (*own).listVersion
 		m.Away = (*own).anyFeedDown()
-		m.Steady = !m.Away && !(*own).mostAway(now)
+		m.Steady = (*own).steady(now)
 		m.Known = (*own).livePeers(now)
 		// The order is random, so all live peers are listed over several messages.
 		m.Known = m.Known[:min(len(m.Known), MaxListedPeers)]
@@ -59,7 +58,6 @@
 		ctx, cancel := context.WithTimeout(ctx, ExchangeTimeout)
 		defer cancel()
 		reply, err := g.options.Peers.Exchange(ctx, to.Addr, m)
-		received := g.clock.Now()
 		return func(h *table.HeldLocks) []pool.Effect {
 			g.members.With(h, func(own **members) {
 				for _, p := range (*own).peers {
@@ -75,35 +73,17 @@
 			}
 			g.applyMessage(h, reply.Message)
 			g.adoptEvacuations(h, reply.Evacuated, reply.From)
-			if reply.Newer != nil {
-				g.adoptConfig(h, reply.Newer, string(reply.From.Name), received)
-			}
-			if reply.Upstreams != nil {
-				g.applyRelayedList(h, *reply.Upstreams, reply.Message)
-			}
-			return nil
+			return g.catchUp(h)
 		}
 	}}
 }
 
-// applyRelayedList applies a peer's list of upstreams while the registry does not
-// answer here. Otherwise this process reads the list itself.
-func (g *Gateway) applyRelayedList(h *table.HeldLocks, list registry.Upstreams, from relay.Message) {
-	if !g.registryDown(h) {
-		return
-	}
-	if from.Steady {
-		g.board.With(h, func(b **roster.Board) { (*b).RecordSteadyPeer(g.clock.Now()) })
-	}
-	g.applyUpstreams(h, list, string(from.From.Name))
-}
-
 // applyMessage applies a peer's message or reply to the tables.
 func (g *Gateway) applyMessage(h *table.HeldLocks, m relay.Message) {
 	now := g.clock.Now()
 	wasLost := false
 	g.members.With(h, func(own **members) {
-		wasLost = (*own).recordContact(now, m.From, m.Away)
+		wasLost = (*own).recordContact(now, m)
 		(*own).addPeers(now, m.Known)
 	})
 	if wasLost {
@@ -122,27 +102,18 @@
 	g.applyPartNotes(h, m.PromptParts, string(m.From.Name))
 }
 
-// Exchange implements relay.Server. The reply carries the configuration if the sender
-// has an older one, and the list of upstreams if it cannot read the registry.
+// Exchange implements relay.Server.
 func (g *Gateway) Exchange(ctx context.Context, m relay.Message) (relay.Reply, error) {
 	return pool.Ask(ctx, g.pool, func(h *table.HeldLocks, answer func(relay.Reply)) []pool.Effect {
 		g.applyMessage(h, m)
 		reply := relay.Reply{Message: g.buildMessage(h, m.From.Name)}
-		if snapshot := g.snapshot(h); snapshot != nil && snapshot.Version > m.Config {
-			reply.Newer = snapshot
-			g.metrics.recordConfigSent()
-		}
 		reply.Evacuated = g.evacuationsFor(h, m)
-		if m.Away && reply.List > m.List {
-			var list registry.Upstreams
-			g.board.With(h, func(b **roster.Board) { list = (*b).List(reply.List) })
-			reply.Upstreams = &list
-		}
 		answer(reply)
-		if m.Config > reply.Config || reply.Evacuations.Lacks(m.Evacuations) || m.List > reply.List && g.registryDown(h) {
-			return []pool.Effect{g.exchangeWith(h, m.From)}
+		effects := g.catchUp(h)
+		if reply.Evacuations.Lacks(m.Evacuations) {
+			effects = append(effects, g.exchangeWith(h, m.From))
 		}
-		return nil
+		return effects
 	})
 }
 
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -502,6 +502,28 @@
 	return g.Exchange(ctx, m)
 }
 
+func (f *fakePeers) Fetch(ctx context.Context, addr string, w relay.Want) (relay.State, error) {
+	f.mu.Lock()
+	g, cut := f.gateways[addr], f.cut[addr]
+	f.mu.Unlock()
+	if g == nil || cut {
+		return relay.State{}, errors.New("no such peer")
+	}
+	return g.Fetch(ctx, w)
+}
+
+// others returns the gateways but for the one at an address.
+func (f *fakePeers) others(addr string) (out []*Gateway) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for at, g := range f.gateways {
+		if at != addr {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // callerSink collects the answer; if fail is set, every write returns it.
 type callerSink struct {
 	status int
@@ -530,6 +552,8 @@
 	// view is used in place of registry by gateways that start while it is set.
 	view  registry.Registry
 	peers *fakePeers
+	// dialer is used in place of peers by gateways that start while it is set.
+	dialer relay.Dialer
 	// log and regions may be nil.
 	log     hclog.Logger
 	regions map[zone.AvailabilityZone]zone.Region
@@ -565,13 +589,17 @@
 	if f.view != nil {
 		view = f.view
 	}
+	var dialer relay.Dialer = f.peers
+	if f.dialer != nil {
+		dialer = f.dialer
+	}
 	g := New(Options{
 		Self:       instance.Identity{Name: instance.Name(name), Incarnation: instance.Incarnation(time.Now().UnixNano())},
 		Addr:       name,
 		Seeds:      seeds,
 		Runners:    client,
 		Registry:   view,
-		Peers:      f.peers,
+		Peers:      dialer,
 		Quota:      quota.Options{Window: 8 * time.Second},
 		Retries:    retry.Options{Share: 0.2, FloorPerSecond: 5, FloorBurst: 20, MaxSaved: 10},
 		RetryAfter: retryDelay,
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -43,6 +43,7 @@
 	laneCleanup  pool.Lane = "cleanup"
 	laneRegistry pool.Lane = "registry"
 	lanePeers    pool.Lane = "peers"
+	laneCatchUp  pool.Lane = "catch_up"
 )
 
 // Concurrent calls on the lanes whose limit is not MaxRequests.
@@ -50,6 +51,7 @@
 	cleanupCalls  = 64
 	registryCalls = 8
 	peerCalls     = 16
+	catchUpCalls  = 1
 )
 
 // Options configure a gateway.
@@ -204,6 +206,7 @@
 			laneCleanup:  cleanupCalls,
 			laneRegistry: registryCalls,
 			lanePeers:    peerCalls,
+			laneCatchUp:  catchUpCalls,
 		},
 		OnPanic: func(reason any, stack []byte) {
 			g.log.Error("a step panicked", "reason", reason, "stack", string(stack))
--- a/instance/gateway/members.go
+++ b/instance/gateway/members.go
@@ -9,8 +9,10 @@
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/contract/quota"
 	"github.com/trefoilwalk/trefoilwalk/instance"
+	"github.com/trefoilwalk/trefoilwalk/instance/catchup"
 	"github.com/trefoilwalk/trefoilwalk/instance/pool"
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 	"github.com/trefoilwalk/trefoilwalk/upstream/demand"
@@ -51,8 +53,12 @@
 	// exchange is in flight.
 	lost       bool
 	exchanging bool
-	// away is set if it could not read the registry at its last message.
-	away bool
+	// away is set if it could not read the registry at its last message, which stated the
+	// versions in stated.
+	away   bool
+	stated catchup.State
+	// fetchedAt is when the last fetch from it ended.
+	fetchedAt time.Time
 }
 
 // members holds the known peers and the state of the process's registry feeds.
@@ -71,6 +77,12 @@
 	// feedDown is set for feeds whose last read failed, and for all of them until
 	// the first read.
 	feedDown [feedCount]bool
+	// configRead is the read of the configuration that is going on or whose answer is to be
+	// applied; nil if there is none.
+	configRead *progress.Call
+	// fetch is the fetch from a peer that catchUp follows; nil if there is none.
+	catchUp catchup.Ledger
+	fetch   *progress.Call
 }
 
 func newMembers(o Options) *members {
@@ -103,19 +115,24 @@
 	}
 }
 
-// recordContact records a message from a peer and reports whether it had been lost. away
-// tells whether the peer cannot read the registry.
-func (m *members) recordContact(now time.Time, p relay.Peer, away bool) (wasLost bool) {
-	m.addPeers(now, []relay.Peer{p})
-	known, ok := m.peers[p.Name]
+// recordContact records a message from a peer and reports whether the peer had been lost.
+func (m *members) recordContact(now time.Time, from relay.Message) (wasLost bool) {
+	m.addPeers(now, []relay.Peer{from.From})
+	known, ok := m.peers[from.From.Name]
 	if !ok {
 		return false
 	}
 	wasLost = known.lost
-	known.lastHeard, known.lost, known.away = now, false, away
+	known.lastHeard, known.lost, known.away = now, false, from.Away
+	known.stated = catchup.State{Config: from.Config, List: from.List}
 	return wasLost
 }
 
+// steady reports whether this process reads the registry and most live peers do.
+func (m *members) steady(now time.Time) bool {
+	return !m.anyFeedDown() && !m.mostAway(now)
+}
+
 // mostAway reports whether more than half of the live peers cannot read the registry.
 func (m *members) mostAway(now time.Time) bool {
 	live, away := 0, 0
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -50,18 +50,26 @@
 }
 
 // registryRead makes an effect of a read whose answer may be long. It ends if the answer has
-// not begun after the time first, or pauses.
-func registryRead(first time.Duration, read func(ctx context.Context) pool.Step) []pool.Effect {
+// not begun after the time first, or pauses. If observe is not nil, it gets the read.
+func registryRead(first time.Duration, observe func(*progress.Call), read func(ctx context.Context) pool.Step) []pool.Effect {
 	return []pool.Effect{{Lane: laneRegistry, Perform: func(ctx context.Context) pool.Step {
 		ctx, call := progress.Start(ctx, progress.Limits{First: first, Quiet: AnswerPause, Total: LongestAnswer})
 		defer call.End()
+		if observe != nil {
+			observe(call)
+		}
 		return read(ctx)
 	}}}
 }
 
+// observeConfigRead records the read of the configuration that is going on.
+func (g *Gateway) observeConfigRead(call *progress.Call) {
+	g.members.With(table.NewHeldLocks(), func(m **members) { (*m).configRead = call })
+}
+
 // readConfig reads the newest configuration without a starting version.
 func (g *Gateway) readConfig(*table.HeldLocks) []pool.Effect {
-	return registryRead(ReadTimeout, func(ctx context.Context) pool.Step {
+	return registryRead(ReadTimeout, g.observeConfigRead, func(ctx context.Context) pool.Step {
 		update, err := g.registry.ReadConfig(ctx)
 		err = wholeReadError(err)
 		answered := g.clock.Now()
@@ -82,7 +90,7 @@
 func (g *Gateway) readConfigSince(h *table.HeldLocks, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.config.With(h, func(c **configuration) { seen = (*c).seen })
-	return registryRead(wait+WatchSlack, func(ctx context.Context) pool.Step {
+	return registryRead(wait+WatchSlack, g.observeConfigRead, func(ctx context.Context) pool.Step {
 		asked := g.clock.Now()
 		update, err := g.registry.WatchConfig(ctx, seen, wait)
 		answered := g.clock.Now()
@@ -98,6 +106,8 @@
 // afterConfigRead applies the configuration that was read and continues to watch. answered is
 // when the read ended. After a failure it schedules onError.
 func (g *Gateway) afterConfigRead(h *table.HeldLocks, update registry.ConfigUpdate, answered time.Time, err error, onError pool.Step) []pool.Effect {
+	// Only after the answer was applied: until then no peer is to be read from.
+	defer g.members.With(h, func(m **members) { (*m).configRead = nil })
 	if errors.Is(err, registry.ErrHistoryGone) {
 		g.log.Info(string(eventHistoryGone), "what", feedConfig.String())
 		return g.readConfig(h)
@@ -147,6 +157,7 @@
 	if !adopted {
 		return
 	}
+	g.dropNeedlessFetch(h)
 	g.retainConfigured(h, snapshot)
 	g.shortages.With(h, func(l **shortage.Ledger) { (*l).Configure(g.clock.Now(), snapshot.Version, urgency.Services()) })
 	g.traffic.With(h, func(l **traffic.Ledger) {
@@ -175,7 +186,7 @@
 
 // readUpstreams reads the complete list of upstreams.
 func (g *Gateway) readUpstreams(*table.HeldLocks) []pool.Effect {
-	return registryRead(ReadTimeout, func(ctx context.Context) pool.Step {
+	return registryRead(ReadTimeout, nil, func(ctx context.Context) pool.Step {
 		list, err := g.registry.ReadUpstreams(ctx)
 		err = wholeReadError(err)
 		return func(h *table.HeldLocks) []pool.Effect { return g.afterUpstreamsRead(h, list, err, g.readUpstreams) }
@@ -193,7 +204,7 @@
 func (g *Gateway) readUpstreamsSince(h *table.HeldLocks, wait time.Duration) []pool.Effect {
 	var seen uint64
 	g.members.With(h, func(m **members) { seen = (*m).listVersion })
-	return registryRead(wait+WatchSlack, func(ctx context.Context) pool.Step {
+	return registryRead(wait+WatchSlack, nil, func(ctx context.Context) pool.Step {
 		asked := g.clock.Now()
 		list, err := g.registry.WatchUpstreams(ctx, seen, wait)
 		if wait > 0 {
@@ -249,6 +260,7 @@
 	if !newer {
 		return
 	}
+	g.dropNeedlessFetch(h)
 	if restored {
 		g.log.Info(string(eventRegistryRestored), "list_version", list.Version, "from", from)
 		// The copy may be older than this process's entry.
@@ -321,5 +333,6 @@
 	processes := g.countGateways(h, now)
 	g.quotas.With(h, func(q **quota.Meter) { (*q).BeginRound(processes) })
 	g.pool.After(SweepEvery, g.runPeriodicWork)
-	return append(g.decideBans(h), g.exchangeWithPeers(h)...)
+	effects := append(g.decideBans(h), g.catchUp(h)...)
+	return append(effects, g.exchangeWithPeers(h)...)
 }
--- a/link/relay/relay.go
+++ b/link/relay/relay.go
@@ -1,6 +1,6 @@
 // Package relay defines the interface between gateways: the messages that they
-// exchange at short intervals. With them a gateway that cannot read the registry
-// still receives new configurations and lists of upstreams, and accounts stay within
+// exchange at short intervals. They show a gateway that cannot read the registry from
+// whom to fetch new configurations and lists of upstreams, and keep accounts within
 // their quotas across the fleet. The encoding is in the sub-package relayrpc.
 package relay
 
@@ -58,8 +58,7 @@
 	Known []Peer
 	// Evacuations is the stamp of the evacuated zones known at the sender.
 	Evacuations zone.EvacuationStamp
-	// Away means that the sender cannot read the registry and asks for the list
-	// of upstreams.
+	// Away means that the sender cannot read the registry.
 	Away bool
 	// Steady means that the sender reads the registry and knows of no outage in the last
 	// seconds, neither its own nor one that most of its peers report. What its list lacks
@@ -67,27 +66,42 @@
 	Steady bool
 }
 
-// Reply carries the receiver's own message and the newer state that the sender of
-// the request does not have.
+// Reply carries the receiver's own message and the evacuated zones, if the sender of the
+// request does not have them. The larger state is fetched.
 type Reply struct {
 	Message
-	// Newer is the configuration, if its version is higher than the request's
-	// Config; otherwise nil.
-	Newer *directory.Snapshot
 	// Evacuated is the set of evacuated zones, if the request's Evacuations lacks it;
 	// otherwise nil.
 	Evacuated *zone.Evacuations
-	// Upstreams is the list of upstreams, if the request has Away set and a lower
-	// List; otherwise nil.
+}
+
+// Want names the state that a gateway fetches from another one.
+type Want struct {
+	// Config asks for a configuration newer than version ConfigAfter, List for the list of
+	// upstreams if it is known beyond version ListAfter.
+	Config, List           bool
+	ConfigAfter, ListAfter uint64
+}
+
+// State is what a gateway knows. Its parts are nil if they were not wanted or are not newer.
+type State struct {
+	From Peer
+	// Steady is that of Message.
+	Steady    bool
+	Config    *directory.Snapshot
 	Upstreams *registry.Upstreams
 }
 
 // Server handles the messages of other gateways.
 type Server interface {
 	Exchange(ctx context.Context, m Message) (Reply, error)
+	Fetch(ctx context.Context, w Want) (State, error)
 }
 
 // Dialer sends messages to other gateways.
 type Dialer interface {
 	Exchange(ctx context.Context, addr string, m Message) (Reply, error)
+	// Fetch returns state that may be large. It reports to package progress while it arrives
+	// and fails if the other gateway has too many fetches.
+	Fetch(ctx context.Context, addr string, w Want) (State, error)
 }
--- a/link/relay/relayrpc/rpc.go
+++ b/link/relay/relayrpc/rpc.go
@@ -9,24 +9,42 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
 )
 
 const (
-	service = "Relay"
-	method  = service + ".Exchange"
+	service        = "Relay"
+	exchangeMethod = service + ".Exchange"
+	fetchMethod    = service + ".Fetch"
 )
 
-// Methods adapts a relay.Server to the method signatures of net/rpc. It is exported
-// because net/rpc calls only methods of exported types.
+const (
+	// maxFetches bounds the fetches that are served at a time, so that each of them gets a
+	// part of the link with which it ends.
+	maxFetches = 4
+	// fetchWriteTimeout bounds the time to send one answer to a fetch.
+	fetchWriteTimeout = 20 * time.Second
+)
+
+var errTooManyFetches = fmt.Errorf("relay: %d fetches are being served", maxFetches)
+
+// Methods adapts a relay.Server to the method signatures of net/rpc, for one connection. It
+// is exported because net/rpc calls only methods of exported types.
 type Methods struct {
 	ctx    context.Context
 	server relay.Server
+	conn   net.Conn
+	// fetches has a value for each connection that serves a fetch; fetching is set while
+	// this one does.
+	fetches  chan struct{}
+	fetching atomic.Bool
 }
 
 // Exchange serves relay.Server.Exchange.
@@ -36,10 +54,38 @@
 	return err
 }
 
+// Fetch serves relay.Server.Fetch. The connection counts as one that serves a fetch until it
+// is closed.
+func (m *Methods) Fetch(w *relay.Want, reply *relay.State) error {
+	if m.fetching.CompareAndSwap(false, true) {
+		select {
+		case m.fetches <- struct{}{}:
+		default:
+			m.fetching.Store(false)
+			return errTooManyFetches
+		}
+	}
+	if err := m.conn.SetWriteDeadline(time.Now().Add(fetchWriteTimeout)); err != nil {
+		return fmt.Errorf("relay: fetch: %w", err)
+	}
+	s, err := m.server.Fetch(m.ctx, *w)
+	*reply = s
+	return err
+}
+
+// close must be called after the last call.
+func (m *Methods) close() {
+	if m.fetching.Load() {
+		<-m.fetches
+	}
+}
+
 // Server serves the calls of gateways that connect to a listener.
 type Server struct {
-	rpc *rpc.Server
-	log hclog.Logger
+	ctx     context.Context
+	server  relay.Server
+	fetches chan struct{}
+	log     hclog.Logger
 
 	// mu protects conns and closed.
 	mu     sync.Mutex
@@ -48,12 +94,8 @@
 }
 
 // NewServer returns a server whose calls are cancelled when ctx ends.
-func NewServer(ctx context.Context, server relay.Server, log hclog.Logger) (*Server, error) {
-	s := &Server{rpc: rpc.NewServer(), conns: make(map[net.Conn]struct{}), log: log}
-	if err := s.rpc.RegisterName(service, &Methods{ctx: ctx, server: server}); err != nil {
-		return nil, fmt.Errorf("relay listener: %w", err)
-	}
-	return s, nil
+func NewServer(ctx context.Context, server relay.Server, log hclog.Logger) *Server {
+	return &Server{ctx: ctx, server: server, fetches: make(chan struct{}, maxFetches), conns: make(map[net.Conn]struct{}), log: log}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -74,11 +116,7 @@
 			return
 		}
 		go func() {
-			limited := gobframe.Limit(c, gobframe.MaxMessageBytes)
-			s.rpc.ServeConn(limited)
-			if err := limited.TooLong(); err != nil {
-				s.log.Warn("connection of a peer closed", "address", c.RemoteAddr().String(), "error", err)
-			}
+			s.serve(c)
 			s.mu.Lock()
 			delete(s.conns, c)
 			s.mu.Unlock()
@@ -86,6 +124,23 @@
 	}
 }
 
+// serve serves the calls on a connection until it is closed.
+func (s *Server) serve(c net.Conn) {
+	methods := &Methods{ctx: s.ctx, server: s.server, conn: c, fetches: s.fetches}
+	defer methods.close()
+	server := rpc.NewServer()
+	if err := server.RegisterName(service, methods); err != nil {
+		s.log.Error("relay listener", "error", err)
+		_ = c.Close()
+		return
+	}
+	limited := gobframe.Limit(c, gobframe.MaxMessageBytes)
+	server.ServeConn(limited)
+	if err := limited.TooLong(); err != nil {
+		s.log.Warn("connection of a peer closed", "address", c.RemoteAddr().String(), "error", err)
+	}
+}
+
 // Close closes all connections; later ones are closed when they are accepted. It
 // does not close the listener and does not wait for running calls.
 func (s *Server) Close() {
@@ -97,7 +152,8 @@
 	}
 }
 
-// Client implements relay.Dialer with one connection to each address.
+// Client implements relay.Dialer with one connection to each address for exchanges, and one
+// for each fetch, so that a long answer delays no exchange.
 type Client struct {
 	dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -131,7 +187,7 @@
 		return relay.Reply{}, fmt.Errorf("relay to %s: %w", addr, err)
 	}
 	var reply relay.Reply
-	call := conn.Go(method, &m, &reply, make(chan *rpc.Call, 1))
+	call := conn.Go(exchangeMethod, &m, &reply, make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 		err = call.Error
@@ -145,6 +201,43 @@
 	return reply, nil
 }
 
+// Fetch implements relay.Dialer.
+func (c *Client) Fetch(ctx context.Context, addr string, w relay.Want) (relay.State, error) {
+	raw, err := c.dial(ctx, addr)
+	if err != nil {
+		return relay.State{}, fmt.Errorf("fetch from %s: %w", addr, err)
+	}
+	client := rpc.NewClient(gobframe.Limit(&reportingConn{raw, ctx}, gobframe.MaxMessageBytes))
+	defer func() { _ = client.Close() }()
+	var state relay.State
+	call := client.Go(fetchMethod, &w, &state, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-ctx.Done():
+		err = context.Cause(ctx)
+	}
+	if err != nil {
+		return relay.State{}, fmt.Errorf("fetch from %s: %w", addr, err)
+	}
+	return state, nil
+}
+
+// reportingConn reports the bytes that arrive as progress of the call of ctx.
+type reportingConn struct {
+	net.Conn
+	ctx context.Context
+}
+
+// Read implements net.Conn.
+func (c *reportingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		progress.Report(c.ctx)
+	}
+	return n, err
+}
+
 // conn returns the connection to an address and opens it if there is none. Of two
 // that are opened at once, the second is closed.
 func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
--- a/link/relay/relayrpc/rpc_test.go
+++ b/link/relay/relayrpc/rpc_test.go
@@ -26,25 +26,33 @@
 	return relay.Reply{Message: relay.Message{From: relay.Peer{Name: "echo"}, Usage: m.Usage, Traffic: m.Traffic}}, nil
 }
 
+// Fetch returns a configuration of the version that is asked for.
+func (echo) Fetch(_ context.Context, w relay.Want) (relay.State, error) {
+	return relay.State{From: relay.Peer{Name: "echo"}, Config: &directory.Snapshot{Version: w.ConfigAfter}}, nil
+}
+
 // startEcho starts a server and returns its address.
 func startEcho(t *testing.T) (addr string) {
+	t.Helper()
+	return startServer(t, echo{})
+}
+
+// startServer serves s on loopback and returns its address.
+func startServer(t *testing.T, s relay.Server) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := NewServer(context.Background(), echo{}, hclog.NewNullLogger())
-	if err != nil {
-		t.Fatal(err)
-	}
+	server := NewServer(context.Background(), s, hclog.NewNullLogger())
 	served := make(chan struct{})
 	go func() {
-		s.Serve(l)
+		server.Serve(l)
 		close(served)
 	}()
 	t.Cleanup(func() {
 		_ = l.Close()
-		s.Close()
+		server.Close()
 		<-served
 	})
 	return l.Addr().String()
