--- a/link/httpconn/exchange.go
+++ b/link/httpconn/exchange.go
@@ -69,9 +69,9 @@
 type exchange struct {
 	pool *Pool
 	conn *conn
-	// written receives the result of writing the body; nil if the body was
-	// written inline.
-	written chan error
+	// upload is the body that is written beside the wait for the response; nil if the body
+	// was written inline.
+	upload *upload
 	// stop cancels the function that closes the connection when the context ends.
 	stop func() bool
 	// bodyRead is set when the response body was read to its end.
@@ -128,20 +128,26 @@
 	case inline:
 		return nil
 	}
-	x.written = make(chan error, 1)
+	x.upload = &upload{ended: make(chan struct{})}
 	writing := q.Writing
 	if writing == nil {
 		writing = func(bool) {}
 	}
 	writing(false)
 	go func() {
-		_, err := x.conn.Write(q.Body)
+		_, x.upload.err = x.conn.Write(q.Body)
 		writing(true)
-		x.written <- err
+		close(x.upload.ended)
 	}()
 	return nil
 }
 
+// upload is a body that is being written. err is its result once ended is closed.
+type upload struct {
+	ended chan struct{}
+	err   error
+}
+
 // receive reads the head of the response. It skips provisional responses and up to
 // maxSkippedResponses responses to other requests, each within the bounds above.
 func (x *exchange) receive(q *Request) (*Response, error) {
@@ -186,23 +192,50 @@
 
 func (x *exchange) response(resp *http.Response) *Response {
 	r := &Response{Response: resp, exchange: x}
-	resp.Body = &body{ReadCloser: resp.Body, exchange: x}
+	resp.Body = &body{ReadCloser: resp.Body, exchange: x, framed: isFramed(resp)}
 	return r
 }
 
+// isFramed reports whether a response states where it ends; otherwise it ends with its
+// connection.
+func isFramed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // body records that the response was read to its end.
 type body struct {
 	io.ReadCloser
 	exchange *exchange
+	// framed is set if the response states where it ends.
+	framed bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.exchange.bodyRead = true
+	if err != io.EOF {
+		return n, err
+	}
+	if err := b.checkEnd(); err != nil {
+		return n, err
 	}
-	return n, err
+	b.exchange.bodyRead = true
+	return n, io.EOF
+}
+
+// checkEnd returns an error if the end of the connection may not be the end of the response. The
+// system reports a reset once, to the first call that meets it: if that is the write of the
+// request, reads return what had arrived and then an end like a regular one.
+func (b *body) checkEnd() error {
+	upload := b.exchange.upload
+	if b.framed || upload == nil {
+		return nil
+	}
+	<-upload.ended
+	if upload.err != nil {
+		return fmt.Errorf("%w: connection broke off during the request: %w", ErrNoResponse, upload.err)
+	}
+	return nil
 }
 
 // Close returns the connection to the pool if request and response were
@@ -211,16 +244,15 @@
 func (r *Response) Close() {
 	x := r.exchange
 	sent := true
-	if x.written != nil {
+	if x.upload != nil {
 		select {
-		case err := <-x.written:
-			sent = err == nil
+		case <-x.upload.ended:
+			sent = x.upload.err == nil
 		default:
 			sent = false
 		}
 	}
-	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	if !x.stop() || !x.bodyRead || !sent || !framed || r.Response.Close || x.conn.reader.Buffered() > 0 {
+	if !x.stop() || !x.bodyRead || !sent || !isFramed(r.Response) || r.Response.Close || x.conn.reader.Buffered() > 0 {
 		x.pool.discard(x.conn)
 		return
 	}
