MIXED: an answer with an undefined status is no answer

A runner in trouble sends an answer whose status is 000, or another one that HTTP does not define.

What callers got: 600 and above as it was; below 100 a closed connection, since the server for callers panics at such a status, also where another upstream could have been asked. The client of services passed all of them on as answers.

Cause: net/http accepts any three digits, and nothing else checked them.

Fix: a status outside of 100 to 599 breaks the call off. Callers get 502, or the answer of another upstream where the request may run again.

--- a/link/httpconn/early_test.go
+++ b/link/httpconn/early_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -90,3 +91,15 @@
 		t.Errorf("%q, %v", body, err)
 	}
 }
+
+// TestUndefinedStatusIsNoAnswer guards against an answer whose status HTTP does not define.
+func TestUndefinedStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "+20", "2e2"} {
+		s := serve(t, []string{"HTTP/1.1 " + status + " Odd\r\nRequest-Id: 1\r\nContent-Length: 2\r\n\r\nok"})
+		p := New(Options{})
+		if body, err := exchangeOne(p, s.addr, "1"); !errors.Is(err, ErrNoResponse) {
+			t.Errorf("status %s: body %q, error %v", status, body, err)
+		}
+		p.Close()
+	}
+}
--- a/link/httpconn/exchange.go
+++ b/link/httpconn/exchange.go
@@ -183,13 +183,28 @@
 	request := &http.Request{Method: method}
 	for range maxProvisional + 1 {
 		resp, err := http.ReadResponse(x.conn.reader, request)
-		if err != nil || resp.StatusCode < 100 || resp.StatusCode >= 200 {
-			return resp, err
+		if err != nil {
+			return nil, err
+		}
+		if err := CheckStatus(resp.StatusCode); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
 		}
 	}
 	return nil, fmt.Errorf("%w: more than %d provisional responses", ErrTooLong, maxProvisional)
 }
 
+// CheckStatus returns an error for a status that HTTP does not define (RFC 9110, section 15),
+// which net/http accepts.
+func CheckStatus(status int) error {
+	if status < 100 || status > 599 {
+		return fmt.Errorf("httpconn: undefined status %03d", status)
+	}
+	return nil
+}
+
 func (x *exchange) response(resp *http.Response) *Response {
 	r := &Response{Response: resp, exchange: x}
 	resp.Body = &body{ReadCloser: resp.Body, exchange: x, framed: isFramed(resp)}
--- a/link/upstream/serviceapi/client.go
+++ b/link/upstream/serviceapi/client.go
@@ -141,6 +141,9 @@
 }
 
 func readAnswer(resp *http.Response) (contract.ServiceAnswer, error) {
+	if err := httpconn.CheckStatus(resp.StatusCode); err != nil {
+		return contract.ServiceAnswer{}, fmt.Errorf("%w: %w", link.ErrInterrupted, err)
+	}
 	body, err := httpconn.ReadAtMost(resp.Body, MaxAnswer)
 	if err != nil {
 		return contract.ServiceAnswer{}, fmt.Errorf("%w: %w", link.ErrInterrupted, err)
