Exchanges of configurations between processes go on while they arrive

Not seen on a deployment.

Fix: these calls follow package progress, which also follows what is sent, and calls within calls. Configurations have a connection of their own.

--- a/instance/entry/configsync.go
+++ b/instance/entry/configsync.go
@@ -13,6 +13,7 @@
 	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/upstream/placement"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
@@ -24,8 +25,10 @@
 	// AnnounceFanout is the number of entries to which a new revision is
 	// announced at once.
 	AnnounceFanout = 4
-	// SyncTimeout bounds one exchange of a configuration between processes.
+	// SyncTimeout bounds one exchange of a configuration between processes until its first
+	// bytes arrive or are sent, and pauses in it; longestSync bounds all of it.
 	SyncTimeout = 2 * time.Second
+	longestSync = 20 * time.Second
 )
 
 // FillHeader implements heard.Node. It keeps ZonesHeard, which only heartbeats set.
@@ -77,8 +80,8 @@
 
 // sync exchanges headers and configurations with an entry or a sidecar.
 func (e *Entry) sync(ctx context.Context, to config.Peer, q *peer.SyncRequest) (*peer.SyncReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, SyncTimeout)
-	defer cancel()
+	ctx, call := progress.Start(ctx, progress.Limits{First: SyncTimeout, Quiet: SyncTimeout, Total: longestSync})
+	defer call.End()
 	if to.Kind == zone.KindSidecar {
 		return e.peers.Sidecar(to.Addr).Sync(ctx, q)
 	}
@@ -124,8 +127,8 @@
 // load reads the configuration from the store or a peer.
 func (e *Entry) load(ctx context.Context, f config.Fetch) (config.Loaded, error) {
 	if f.Peer == (config.Peer{}) {
-		ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-		defer cancel()
+		ctx, call := progress.Start(ctx, platform.CallLimits)
+		defer call.End()
 		return e.source.Load(ctx, f.Have)
 	}
 	reply, err := e.sync(ctx, f.Peer, &peer.SyncRequest{})
--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -16,6 +16,7 @@
 	"github.com/trefoilwalk/trefoilwalk/link/configcodec"
 	"github.com/trefoilwalk/trefoilwalk/link/gobframe"
 	"github.com/trefoilwalk/trefoilwalk/link/peer"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 )
 
 // DialTimeout limits the time to open a connection.
@@ -30,10 +31,13 @@
 	return d.DialContext(ctx, "tcp", addr)
 }
 
-// ConnPool is a pool with one connection to each peer. A broken connection is dropped
-// and the next call opens a new one. It is safe for concurrent use.
+// ConnPool is a pool with one connection to each peer, and another one for exchanges of
+// configurations, which are long: no other call waits behind them. A broken connection is
+// dropped and the next call opens a new one. It is safe for concurrent use.
 type ConnPool struct {
 	dial Dialer
+	// long has the connections for exchanges of configurations; nil in itself.
+	long *ConnPool
 
 	// mu protects conns.
 	mu sync.Mutex
@@ -59,6 +63,61 @@
 	// or ended. The pool's lock protects both.
 	calls  int
 	usedAt time.Time
+
+	// callersMu protects callers, the contexts of the calls in flight.
+	callersMu sync.Mutex
+	callers   map[context.Context]bool
+}
+
+// reportingConn reports what it reads and writes as progress of all calls in flight on a
+// connection: a call can only wait behind others on it.
+type reportingConn struct {
+	net.Conn
+	owner *conn
+}
+
+// reportedBytes is what is written between two reports.
+const reportedBytes = 64 << 10
+
+// Read implements net.Conn.
+func (r *reportingConn) Read(p []byte) (int, error) {
+	n, err := r.Conn.Read(p)
+	if n > 0 {
+		r.owner.report()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (r *reportingConn) Write(p []byte) (written int, err error) {
+	for {
+		n, err := r.Conn.Write(p[written:min(len(p), written+reportedBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		r.owner.report()
+	}
+}
+
+func (c *conn) report() {
+	c.callersMu.Lock()
+	defer c.callersMu.Unlock()
+	for ctx := range c.callers {
+		progress.Report(ctx)
+	}
+}
+
+// follow adds a call in flight; the caller must call the function that it returns at its end.
+func (c *conn) follow(ctx context.Context) (end func()) {
+	c.callersMu.Lock()
+	defer c.callersMu.Unlock()
+	c.callers[ctx] = true
+	return func() {
+		c.callersMu.Lock()
+		defer c.callersMu.Unlock()
+		delete(c.callers, ctx)
+	}
 }
 
 // close closes the connection; its running calls fail.
@@ -72,12 +131,21 @@
 // NewConnPool returns a pool that opens connections with dial when they are needed.
 func NewConnPool(dial Dialer) *ConnPool {
 	configcodec.Register()
+	d := newConnPool(dial)
+	d.long = newConnPool(dial)
+	return d
+}
+
+func newConnPool(dial Dialer) *ConnPool {
 	return &ConnPool{dial: dial, conns: make(map[string]*conn)}
 }
 
 // Close closes all connections; running calls fail with ErrNoAnswer. It waits for
 // connections that are being opened.
 func (d *ConnPool) Close() {
+	if d.long != nil {
+		d.long.Close()
+	}
 	d.mu.Lock()
 	conns := d.conns
 	d.conns = make(map[string]*conn)
@@ -99,6 +167,7 @@
 	if err != nil {
 		return fail(peer.ErrNotSent, err)
 	}
+	defer c.follow(ctx)()
 	call, err := d.send(ctx, addr, c, method, request, reply)
 	if err != nil {
 		return fail(peer.ErrNoAnswer, err)
@@ -150,7 +219,7 @@
 	d.closeUnused(now)
 	c, ok := d.conns[addr]
 	if !ok {
-		c = &conn{opened: make(chan struct{})}
+		c = &conn{opened: make(chan struct{}), callers: make(map[context.Context]bool)}
 		d.conns[addr] = c
 		go d.open(addr, c)
 	}
@@ -196,7 +265,7 @@
 		c.err = err
 		d.dropConn(addr, c)
 	} else {
-		c.client = rpc.NewClient(gobframe.Limit(raw, gobframe.MaxMessageBytes))
+		c.client = rpc.NewClient(gobframe.Limit(&reportingConn{raw, c}, gobframe.MaxMessageBytes))
 	}
 	close(c.opened)
 }
--- a/link/peer/rpc/entry.go
+++ b/link/peer/rpc/entry.go
@@ -29,7 +29,7 @@
 
 // Sync implements peer.Entry.
 func (e *EntryClient) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
-	return call[peer.SyncRequest, peer.SyncReply](ctx, e.connPool, e.addr, "Entry.Sync", q)
+	return call[peer.SyncRequest, peer.SyncReply](ctx, e.connPool.long, e.addr, "Entry.Sync", q)
 }
 
 // Query implements peer.Entry.
--- a/link/peer/rpc/sidecar.go
+++ b/link/peer/rpc/sidecar.go
@@ -63,7 +63,7 @@
 
 // Sync implements peer.Sidecar.
 func (s *SidecarClient) Sync(ctx context.Context, q *peer.SyncRequest) (*peer.SyncReply, error) {
-	return call[peer.SyncRequest, peer.SyncReply](ctx, s.connPool, s.addr, "Sidecar.Sync", q)
+	return call[peer.SyncRequest, peer.SyncReply](ctx, s.connPool.long, s.addr, "Sidecar.Sync", q)
 }
 
 // Query implements peer.Sidecar.
--- a/link/platform/platform.go
+++ b/link/platform/platform.go
@@ -11,6 +11,7 @@
 	"io"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/zone"
 )
 
@@ -109,5 +110,12 @@
 	Fetch(ctx context.Context, model string) (io.ReadCloser, error)
 }
 
-// CallTimeout bounds one call of a platform service, except Weights.Fetch.
-const CallTimeout = 2 * time.Second
+// CallTimeout bounds one call of a platform service until its answer begins, and pauses in the
+// answer; LongestAnswer bounds all of that. Neither applies to Weights.Fetch.
+const (
+	CallTimeout   = 2 * time.Second
+	LongestAnswer = 20 * time.Second
+)
+
+// CallLimits are the limits of one call, or of several that belong together.
+var CallLimits = progress.Limits{First: CallTimeout, Quiet: CallTimeout, Total: LongestAnswer}
--- a/link/platform/rest/client.go
+++ b/link/platform/rest/client.go
@@ -20,6 +20,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 )
 
 // Limits of the client.
@@ -92,17 +93,17 @@
 	entityTag string
 }
 
-// exchange makes a call within platform.CallTimeout and returns the whole body of
+// exchange makes a call within platform.CallLimits and returns the whole body of
 // the reply.
 func (c *Client) exchange(ctx context.Context, q call) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-	defer cancel()
+	ctx, call := progress.Start(ctx, platform.CallLimits)
+	defer call.End()
 	resp, err := c.send(ctx, q)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := httpconn.ReadAtMost(resp.Body, maxReply)
+	body, err := httpconn.ReadAtMost(progress.Reader(ctx, resp.Body), maxReply)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", lostOrUnavailable(q.write), err)
 	}
--- a/link/platform/rest/services.go
+++ b/link/platform/rest/services.go
@@ -12,6 +12,7 @@
 
 	"github.com/trefoilwalk/trefoilwalk/link/httpconn"
 	"github.com/trefoilwalk/trefoilwalk/link/platform"
+	"github.com/trefoilwalk/trefoilwalk/link/progress"
 )
 
 type table struct{ c *Client }
@@ -108,8 +109,8 @@
 // request carries the entity tag of the cached list, and an unchanged list is not
 // transferred again. The caller owns the returned slice.
 func (i instances) List(ctx context.Context) ([]platform.ListedInstance, error) {
-	ctx, cancel := context.WithTimeout(ctx, platform.CallTimeout)
-	defer cancel()
+	ctx, read := progress.Start(ctx, platform.CallLimits)
+	defer read.End()
 	last := i.c.list.Load()
 	q := call{method: http.MethodGet, path: PathInstances}
 	if last != nil {
@@ -123,7 +124,7 @@
 	if resp.StatusCode == http.StatusNotModified {
 		return slices.Clone(last.list), nil
 	}
-	list, err := decodeInstances(resp.Body)
+	list, err := decodeInstances(progress.Reader(ctx, resp.Body))
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
 	}
--- a/link/progress/progress.go
+++ b/link/progress/progress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"sync"
 	"time"
 )
@@ -24,6 +25,8 @@
 type Call struct {
 	limits Limits
 	cancel context.CancelCauseFunc
+	// outer is the call that this one is part of; nil if there is none.
+	outer *Call
 
 	mu    sync.Mutex
 	timer *time.Timer
@@ -37,18 +40,25 @@
 // Start returns a context that ends when the call exceeds its limits, with ErrStalled as its
 // cause. End must be called.
 func Start(parent context.Context, limits Limits) (context.Context, *Call) {
-	c := &Call{limits: limits}
+	c := &Call{limits: limits, outer: callOf(parent)}
 	ctx, cancel := context.WithCancelCause(context.WithValue(parent, callKey{}, c))
 	c.cancel = cancel
 	c.timer = time.AfterFunc(limits.First, func() { cancel(ErrStalled) })
 	return ctx, c
 }
 
-// Report records that a part of the answer to the call of ctx has arrived. Without a call it
-// does nothing.
+// callOf returns the innermost call of a context, nil if there is none.
+func callOf(ctx context.Context) *Call {
+	c, _ := ctx.Value(callKey{}).(*Call)
+	return c
+}
+
+// Report records that a part of the answer to the call of ctx has arrived, and so for the calls
+// that it is part of. Without a call it does nothing.
 func Report(ctx context.Context) {
-	if c, ok := ctx.Value(callKey{}).(*Call); ok {
-		c.report(time.Now())
+	now := time.Now()
+	for c := callOf(ctx); c != nil; c = c.outer {
+		c.report(now)
 	}
 }
 
@@ -95,3 +105,22 @@
 	c.timer.Stop()
 	c.cancel(context.Canceled)
 }
+
+// Reader returns a reader that reports what it reads from an answer to the call of ctx.
+func Reader(ctx context.Context, from io.Reader) io.Reader {
+	return &reader{from, ctx}
+}
+
+type reader struct {
+	io.Reader
+	ctx context.Context
+}
+
+// Read implements io.Reader.
+func (r *reader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		Report(r.ctx)
+	}
+	return n, err
+}
--- a/link/progress/progress_test.go
+++ b/link/progress/progress_test.go
@@ -74,3 +74,28 @@
 	}
 	none.End()
 }
+
+// TestCallsInACall checks that the parts of several answers keep the call going that consists of
+// them.
+func TestCallsInACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, call := Start(t.Context(), testLimits)
+		defer call.End()
+		for range 5 {
+			inner, part := Start(ctx, testLimits)
+			time.Sleep(900 * time.Millisecond)
+			Report(inner)
+			part.End()
+		}
+		if ctx.Err() != nil {
+			t.Error("the call ended although its parts arrived")
+		}
+		_, part := Start(ctx, testLimits)
+		defer part.End()
+		time.Sleep(testLimits.Quiet)
+		synctest.Wait()
+		if ctx.Err() == nil {
+			t.Error("the call goes on without a part")
+		}
+	})
+}
