Entries fetch whole configurations, which their peers do not offer

Evidence: TestSnapshotIsNotOfferedToEntries failed before. Not seen on a deployment.

Sidecars, which do not fetch, still get an offer from each entry that hears that they are behind.

--- a/contract/config/config_test.go
+++ b/contract/config/config_test.go
@@ -294,6 +294,26 @@
 	}
 }
 
+// TestSnapshotIsNotOfferedToEntries guards against copies of the whole configuration from all entries to one that is behind.
+func TestSnapshotIsNotOfferedToEntries(t *testing.T) {
+	snapshots, changes := chain(t, 8)
+	s := config.NewReplicator(0)
+	s.InstallSnapshot(snapshots[4])
+	s.ApplyChanges(changes)
+	for _, c := range []struct {
+		to     zone.Kind
+		theirs contract.Revision
+		ok     bool
+	}{
+		{zone.KindEntry, 2, false}, {zone.KindEntry, 6, true}, {zone.KindSidecar, 2, true}, {zone.KindSidecar, 6, true},
+	} {
+		if _, ok := s.StartOffer(config.Peer{Kind: c.to, Addr: "late"}, c.theirs); ok != c.ok {
+			t.Errorf("kind %d at revision %d: offered %v, want %v", c.to, c.theirs, ok, c.ok)
+		}
+		s.EndOffer(config.Peer{Kind: c.to, Addr: "late"})
+	}
+}
+
 func BenchmarkApply(b *testing.B) {
 	s := config.EmptySnapshot()
 	for i := range 9700 {
--- a/contract/config/replicator.go
+++ b/contract/config/replicator.go
@@ -161,14 +161,18 @@
 }
 
 // StartOffer starts an offer to a peer and returns the update to send. ok is false if
-// the peer's revision is not lower or an offer to it is already in flight. The
-// caller must end the offer with EndOffer.
+// the peer's revision is not lower or an offer to it is already in flight, and for the
+// whole snapshot to an entry: it fetches that from one source, while all its peers would
+// offer a copy. The caller must end the offer with EndOffer.
 func (s *Replicator) StartOffer(peer Peer, revision contract.Revision) (update Update, ok bool) {
 	if revision >= s.current.Revision || s.offers[peer] {
 		return Update{}, false
 	}
-	s.offers[peer] = true
 	update = s.UpdateSince(revision)
+	if update.Snapshot != nil && peer.Kind == zone.KindEntry {
+		return Update{}, false
+	}
+	s.offers[peer] = true
 	update.Peer = peer
 	return update, true
 }
