--- a/instance/gateway/catchup.go
+++ b/instance/gateway/catchup.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"time"
 
 	"github.com/trefoilwalk/trefoilwalk/instance"
@@ -55,14 +57,22 @@
 	if call == nil {
 		return nil
 	}
-	return []pool.Effect{{Lane: laneCatchUp, Perform: func(context.Context) pool.Step {
-		defer call.End()
-		state, err := g.options.Peers.Fetch(ctx, from.Addr, want)
-		received := g.clock.Now()
-		return func(h *table.HeldLocks) []pool.Effect {
-			return g.afterFetch(h, from.Name, state, received, call.Took(), err)
-		}
-	}}}
+	return []pool.Effect{{
+		Lane: laneCatchUp,
+		Perform: func(context.Context) pool.Step {
+			defer call.End()
+			state, err := g.options.Peers.Fetch(ctx, from.Addr, want)
+			received := g.clock.Now()
+			return func(h *table.HeldLocks) []pool.Effect {
+				return g.afterFetch(h, from.Name, state, received, call.Took(), err)
+			}
+		},
+		OnPanic: func(reason any) pool.Step {
+			return func(h *table.HeldLocks) []pool.Effect {
+				return g.afterFetch(h, from.Name, relay.State{}, g.clock.Now(), 0, fmt.Errorf("gateway: panic: %v", reason))
+			}
+		},
+	}}
 }
 
 // afterFetch applies what a peer gave. received is when its answer had arrived, took the time
@@ -75,6 +85,9 @@
 			p.fetchedAt = g.clock.Now()
 		}
 	})
+	if errors.Is(err, context.Canceled) {
+		return g.catchUp(h) // it had become needless
+	}
 	if err != nil {
 		g.log.Info(string(eventFetchFailed), "peer", from, "error", err)
 		return g.catchUp(h)
