Lists of upstreams from peers leave the link room

Cause: versions of the registry rise with each of its changes, whatever they concern, so that some peer nearly always states a newer list, and a gateway that cannot read the registry would fetch one list after the other without a pause.

Fix: a pause of twice the time that the last list took, 0.5 s at least. A configuration does not wait for it.

--- a/instance/catchup/catchup.go
+++ b/instance/catchup/catchup.go
@@ -16,6 +16,12 @@
 	Patience = 500 * time.Millisecond
 	// AskAgainAfter is how long a peer is spared that was read from, or refused to be.
 	AskAgainAfter = time.Second
+	// ListPause is the least time between two reads of lists: versions of the registry rise
+	// with each of its changes, so that some peer nearly always states a newer list.
+	ListPause = 500 * time.Millisecond
+	// listPauses is the least pause after a read of a list, in times of that read. Lists then
+	// take a third of the link at most.
+	listPauses = 2
 )
 
 // State is the versions of what a gateway knows.
@@ -55,10 +61,14 @@
 	// behindSince that time; zero if no peer has one.
 	behindAt    uint64
 	behindSince time.Time
-	// reading is set during a read; want is what is read, and stated what the peer had stated.
+	// reading is set during a read, which began at began; want is what is read, and stated what
+	// the peer had stated.
 	reading bool
+	began   time.Time
 	want    Want
 	stated  State
+	// nextList is when a list may be read again.
+	nextList time.Time
 }
 
 // Next returns the peer to read from now, and what. ok is false if nothing is lacking, if it may
@@ -76,7 +86,7 @@
 	}
 	awaited := own.Arriving || !own.Away && now.Sub(l.behindSince) < Patience
 	gives := func(s Source) Want {
-		return Want{Config: newer(s) && !awaited, List: own.Away && s.State.List > own.List}
+		return Want{Config: newer(s) && !awaited, List: own.Away && s.State.List > own.List && !now.Before(l.nextList)}
 	}
 	var best *Source
 	for i := range peers {
@@ -91,7 +101,7 @@
 	if best == nil {
 		return "", Want{}, false
 	}
-	l.reading, l.want, l.stated = true, gives(*best), best.State
+	l.reading, l.began, l.want, l.stated = true, now, gives(*best), best.State
 	return best.Name, l.want, true
 }
 
@@ -103,6 +113,9 @@
 }
 
 // Done ends the read that Next began.
-func (l *Ledger) Done() {
+func (l *Ledger) Done(now time.Time) {
 	l.reading = false
+	if l.want.List {
+		l.nextList = now.Add(max(ListPause, listPauses*now.Sub(l.began)))
+	}
 }
--- a/instance/catchup/catchup_test.go
+++ b/instance/catchup/catchup_test.go
@@ -42,7 +42,7 @@
 			t.Errorf("%s: read from a peer at once", c.name)
 			continue
 		}
-		l.Done()
+		l = Ledger{behindAt: l.behindAt, behindSince: l.behindSince}
 		_, got, ok := l.Next(start.Add(c.after), c.own, c.peers)
 		if got != c.want || ok != (c.want != Want{}) {
 			t.Errorf("%s: %+v, %v, want %+v", c.name, got, ok, c.want)
@@ -63,7 +63,7 @@
 			t.Fatalf("a second read after %d s", second)
 		}
 	}
-	l.Done()
+	l.Done(start)
 	if _, _, ok := l.Next(start.Add(time.Minute), own, peers); !ok {
 		t.Error("no read after the end of another")
 	}
@@ -103,7 +103,7 @@
 	peers := peersWith(2, State{Config: 7, List: 9})
 	var l Ledger
 	first, _, _ := l.Next(start, own, peers)
-	l.Done()
+	l.Done(start)
 	for i := range peers {
 		if peers[i].Name == first {
 			peers[i].AskedAt = start
@@ -113,7 +113,7 @@
 	if !ok || second == first {
 		t.Errorf("reads from %q after %q", second, first)
 	}
-	l.Done()
+	l.Done(start)
 	for i := range peers {
 		peers[i].AskedAt = start
 	}
@@ -140,3 +140,42 @@
 	}
 	t.Error("waits for the registry for ever")
 }
+
+// TestListsLeaveLink guards against lists that are read without a pause, since each change of the registry makes a newer one.
+func TestListsLeaveLink(t *testing.T) {
+	for _, takes := range []time.Duration{10 * time.Millisecond, time.Second} {
+		var l Ledger
+		reads, busy := 0, time.Duration(0)
+		const step = 10 * time.Millisecond
+		var ends time.Duration
+		for at := time.Duration(0); at < time.Minute; at += step {
+			now := start.Add(at)
+			if ends > 0 && at >= ends {
+				l.Done(now)
+				ends = 0
+			}
+			peers := peersWith(300, State{Config: 7, List: 10 + uint64(at/step)})
+			if _, _, ok := l.Next(now, Own{State: State{7, 9}, Away: true}, peers); ok {
+				reads++
+				busy += takes
+				ends = at + takes
+			}
+		}
+		if busy > time.Minute*2/5 || reads > 120 || reads < 15 {
+			t.Errorf("%v each: %d reads that take %v in a minute", takes, reads, busy)
+		}
+	}
+}
+
+// TestConfigurationBetweenLists checks that the pause between lists delays no configuration.
+func TestConfigurationBetweenLists(t *testing.T) {
+	var l Ledger
+	if _, want, _ := l.Next(start, Own{State: State{7, 8}, Away: true}, peersWith(3, State{Config: 7, List: 9})); !want.List {
+		t.Fatal("no list is read")
+	}
+	l.Done(start.Add(time.Second))
+	_, want, _ := l.Next(start.Add(time.Second), Own{State: State{7, 9}, Away: true}, peersWith(3, State{Config: 8, List: 10}))
+	if want != (Want{Config: true}) {
+		t.Errorf("reads %+v", want)
+	}
+}
--- a/instance/gateway/catchup.go
+++ b/instance/gateway/catchup.go
@@ -79,7 +79,7 @@
 // that the answer took to arrive.
 func (g *Gateway) afterFetch(h *table.HeldLocks, from instance.Name, state relay.State, received time.Time, took time.Duration, err error) []pool.Effect {
 	g.members.With(h, func(m **members) {
-		(*m).catchUp.Done()
+		(*m).catchUp.Done(g.clock.Now())
 		(*m).fetch = nil
 		if p, ok := (*m).peers[from]; ok {
 			p.fetchedAt = g.clock.Now()
