A fetch of an unreachable client ends

Cause: the bound on the time to serve a fetch held for the write of the answer only. An answer that is written and a client that is unreachable left the connection open until keep-alive ended it, and four of them refused all others for minutes.

Evidence: TestFetchesOfLostClients failed before.

--- a/link/relay/relayrpc/fetch_test.go
+++ b/link/relay/relayrpc/fetch_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
+
 	"github.com/trefoilwalk/trefoilwalk/contract/directory"
 	"github.com/trefoilwalk/trefoilwalk/link/progress"
 	"github.com/trefoilwalk/trefoilwalk/link/relay"
@@ -87,6 +89,38 @@
 	}
 }
 
+// isRefused reports whether a fetch is refused since too many are being served.
+func isRefused(ctx context.Context, c *Client, addr string) bool {
+	_, err := c.Fetch(ctx, addr, relay.Want{Config: true})
+	return err != nil && strings.Contains(err.Error(), errTooManyFetches.Error())
+}
+
+// awaitRefused waits until fetches are refused, or no longer.
+func awaitRefused(t *testing.T, addr string, want bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); isRefused(t.Context(), NewClient(dial), addr) != want; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("refused is not %v", want)
+		}
+	}
+}
+
+// TestFetchesOfLostClients guards against fetches that are served for ever, since their clients became unreachable.
+func TestFetchesOfLostClients(t *testing.T) {
+	server := NewServer(context.Background(), largeState{}, hclog.NewNullLogger())
+	server.fetchTimeout = time.Second
+	addr := listen(t, server)
+	for range maxFetches {
+		go func() {
+			for isRefused(t.Context(), NewClient(unread), addr) {
+				// A call of awaitRefused has taken its place.
+			}
+		}()
+	}
+	awaitRefused(t, addr, true)
+	awaitRefused(t, addr, false)
+}
+
 // TestTooManyFetches checks that fetches beyond the bound are refused at once, and that those
 // that ended make room.
 func TestTooManyFetches(t *testing.T) {
@@ -101,23 +135,11 @@
 			}
 		})
 	}
-	refused := func() bool {
-		_, err := NewClient(dial).Fetch(t.Context(), addr, relay.Want{Config: true})
-		return err != nil && strings.Contains(err.Error(), errTooManyFetches.Error())
-	}
-	await := func(want bool) {
-		t.Helper()
-		for deadline := time.Now().Add(10 * time.Second); refused() != want; time.Sleep(10 * time.Millisecond) {
-			if time.Now().After(deadline) {
-				t.Fatalf("refused is not %v", want)
-			}
-		}
-	}
-	await(true)
+	awaitRefused(t, addr, true)
 	if _, err := NewClient(dial).Exchange(t.Context(), addr, usage(1)); err != nil {
 		t.Errorf("an exchange beside the fetches: %v", err)
 	}
 	cancel()
 	held.Wait()
-	await(false)
+	awaitRefused(t, addr, false)
 }
--- a/link/relay/relayrpc/rpc.go
+++ b/link/relay/relayrpc/rpc.go
@@ -29,8 +29,9 @@
 	// maxFetches bounds the fetches that are served at a time, so that each of them gets a
 	// part of the link with which it ends.
 	maxFetches = 4
-	// fetchWriteTimeout bounds the time to send one answer to a fetch.
-	fetchWriteTimeout = 20 * time.Second
+	// fetchTimeout bounds the time that a connection may serve a fetch, also if its client is
+	// unreachable.
+	fetchTimeout = 20 * time.Second
 )
 
 var errTooManyFetches = fmt.Errorf("relay: %d fetches are being served", maxFetches)
@@ -43,8 +44,9 @@
 	conn   net.Conn
 	// fetches has a value for each connection that serves a fetch; fetching is set while
 	// this one does.
-	fetches  chan struct{}
-	fetching atomic.Bool
+	fetches      chan struct{}
+	fetchTimeout time.Duration
+	fetching     atomic.Bool
 }
 
 // Exchange serves relay.Server.Exchange.
@@ -65,7 +67,7 @@
 			return errTooManyFetches
 		}
 	}
-	if err := m.conn.SetWriteDeadline(time.Now().Add(fetchWriteTimeout)); err != nil {
+	if err := m.conn.SetDeadline(time.Now().Add(m.fetchTimeout)); err != nil {
 		return fmt.Errorf("relay: fetch: %w", err)
 	}
 	s, err := m.server.Fetch(m.ctx, *w)
@@ -85,7 +87,9 @@
 	ctx     context.Context
 	server  relay.Server
 	fetches chan struct{}
-	log     hclog.Logger
+	// fetchTimeout is the constant but in tests.
+	fetchTimeout time.Duration
+	log          hclog.Logger
 
 	// mu protects conns and closed.
 	mu     sync.Mutex
@@ -95,7 +99,10 @@
 
 // NewServer returns a server whose calls are cancelled when ctx ends.
 func NewServer(ctx context.Context, server relay.Server, log hclog.Logger) *Server {
-	return &Server{ctx: ctx, server: server, fetches: make(chan struct{}, maxFetches), conns: make(map[net.Conn]struct{}), log: log}
+	return &Server{
+		ctx: ctx, server: server, fetches: make(chan struct{}, maxFetches), fetchTimeout: fetchTimeout,
+		conns: make(map[net.Conn]struct{}), log: log,
+	}
 }
 
 // Serve accepts connections until the listener is closed.
@@ -126,7 +133,7 @@
 
 // serve serves the calls on a connection until it is closed.
 func (s *Server) serve(c net.Conn) {
-	methods := &Methods{ctx: s.ctx, server: s.server, conn: c, fetches: s.fetches}
+	methods := &Methods{ctx: s.ctx, server: s.server, conn: c, fetches: s.fetches, fetchTimeout: s.fetchTimeout}
 	defer methods.close()
 	server := rpc.NewServer()
 	if err := server.RegisterName(service, methods); err != nil {
--- a/link/relay/relayrpc/rpc_test.go
+++ b/link/relay/relayrpc/rpc_test.go
@@ -39,12 +39,17 @@
 
 // startServer serves s on loopback and returns its address.
 func startServer(t *testing.T, s relay.Server) (addr string) {
+	t.Helper()
+	return listen(t, NewServer(context.Background(), s, hclog.NewNullLogger()))
+}
+
+// listen serves on loopback and returns the address.
+func listen(t *testing.T, server *Server) (addr string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(context.Background(), s, hclog.NewNullLogger())
 	served := make(chan struct{})
 	go func() {
 		server.Serve(l)
