Only connections for configurations report progress

Cause: each read of a connection to a peer would report to all calls in flight on it, also where hundreds of short calls share one.

--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -107,7 +107,7 @@
 }
 
 // ExchangeCounts counts the exchanges with peers that a process started, by their results, and
-// the configurations that it sent in replies.
+// the configurations that it gave to peers.
 type ExchangeCounts struct {
 	Completed, Failed, ConfigsSent uint64
 }
--- a/link/peer/rpc/client.go
+++ b/link/peer/rpc/client.go
@@ -36,7 +36,8 @@
 // dropped and the next call opens a new one. It is safe for concurrent use.
 type ConnPool struct {
 	dial Dialer
-	// long has the connections for exchanges of configurations; nil in itself.
+	// long has the connections for exchanges of configurations; nil in itself. Only these
+	// report progress: others carry many short calls.
 	long *ConnPool
 
 	// mu protects conns.
@@ -167,7 +168,9 @@
 	if err != nil {
 		return fail(peer.ErrNotSent, err)
 	}
-	defer c.follow(ctx)()
+	if d.long == nil {
+		defer c.follow(ctx)()
+	}
 	call, err := d.send(ctx, addr, c, method, request, reply)
 	if err != nil {
 		return fail(peer.ErrNoAnswer, err)
@@ -265,7 +268,10 @@
 		c.err = err
 		d.dropConn(addr, c)
 	} else {
-		c.client = rpc.NewClient(gobframe.Limit(&reportingConn{raw, c}, gobframe.MaxMessageBytes))
+		if d.long == nil {
+			raw = &reportingConn{raw, c}
+		}
+		c.client = rpc.NewClient(gobframe.Limit(raw, gobframe.MaxMessageBytes))
 	}
 	close(c.opened)
 }
