--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves out the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/trefoil-gateway ] && [ -x target/review-standins3 ] || exit 2
-target/review-standins3 -case grey-runner -record review/11/record.txt
+exec target/review-standins3 -case grey-runner -record review/11/record.txt
--- a/review/standins3/lab.go
+++ b/review/standins3/lab.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -243,6 +245,22 @@
 	return nil
 }
 
+// closeOnSignal ends everything that the lab started, and this process, when it is told to end.
+func (l *lab) closeOnSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-told
+		for _, g := range l.gateways {
+			if g.process != nil {
+				_ = g.process.Process.Kill()
+			}
+		}
+		_ = os.RemoveAll(l.dir)
+		os.Exit(exitNotRun)
+	}()
+}
+
 // close ends everything that the lab started.
 func (l *lab) close() {
 	for _, g := range l.gateways {
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -42,6 +42,7 @@
 		fmt.Println("cannot run:", err)
 		return exitNotRun
 	}
+	l.closeOnSignal()
 	broken, err := run(l, os.Getenv("TROUBLE") != "0")
 	l.close()
 	if *logs {
