--- a/review/standins3/engine.go
+++ b/review/standins3/engine.go
@@ -105,7 +105,7 @@
 	defer e.mu.Unlock()
 	return jsonAnswer(http.StatusOK, map[string]any{
 		"phase": e.phase, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "busy": e.busy,
-		"sequence": e.sequence, "waiting": 0, "running": e.running, "kv_used": 0, "kv_total": engineTokens, "kv_handles": 0, "born": e.born,
+		"sequence": e.sequence, "waiting": 0, "running": e.running, "kv_used": 0, "kv_total": engineTokens, names["handles-field"]: 0, "born": e.born,
 	})
 }
 
