An upstream's failure is no promise that the request has not run

Cause: an answer without Not-Executed is that of a run, but its status went to the caller unchanged, to whom 408, 421, 429 and 503 say 'not run'. Ruled out: rejections that are none (platform TestCallOutcomes), refusals of the gateway's own (withKnownRan).

Change: to a request that must not run twice such an answer, plain or to a stream request, is upstream_failed (502), ran unknown; attempt_failed and request_ended say so. One that may run again gets the answer unchanged.

--- a/contract/outcome.go
+++ b/contract/outcome.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// Statuses of HTTP by which callers know that a request has not run and never will.
+const (
+	statusRequestTimeout     = 408
+	statusMisdirected        = 421
+	statusTooManyRequests    = 429
+	statusServiceUnavailable = 503
+)
+
+// StatusSaysNotRun reports whether callers take the status of an answer as a promise that the
+// request has not run, after which they may send even one that must not run twice again.
+func StatusSaysNotRun(status int) bool {
+	switch status {
+	case statusRequestTimeout, statusMisdirected, statusTooManyRequests, statusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // Code identifies the cause of a refusal. Codes are part of the public API.
 type Code string
 
--- a/instance/gateway/call.go
+++ b/instance/gateway/call.go
@@ -88,6 +88,9 @@
 	g.recordResult(h, r, choice, result, ended)
 	switch result.Reach {
 	case runner.Answered:
+		if r.promisesFalsely(result.Status) {
+			return append(effects, g.withhold(h, r, "call", choice, result)...)
+		}
 		r.ran = contract.RanYes
 		if result.Status < 300 {
 			g.recordAnswerBegun(h, r)
--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -38,6 +38,8 @@
 	takes time.Duration
 	// panics makes the call panic.
 	panics bool
+	// whole makes the answer to a stream request a whole one instead of events.
+	whole bool
 }
 
 var (
@@ -225,6 +227,9 @@
 
 func (f *fakeRunners) Stream(ctx context.Context, to runner.Target, _ *contract.Message, o runner.Options, sink runner.StreamReceiver) (runner.Answer, runner.Result) {
 	a := f.take(ctx, "stream", to, o)
+	if a.whole {
+		return runner.Answer{Status: a.result.Status, Header: map[string][]string{}, Body: []byte("body")}, a.result
+	}
 	first := 1
 	if o.ResumeAfter != "" {
 		last, err := strconv.Atoi(o.ResumeAfter)
--- a/instance/gateway/requestlog_test.go
+++ b/instance/gateway/requestlog_test.go
@@ -27,6 +27,13 @@
 	return b.buf.Write(p)
 }
 
+// text returns all that was logged.
+func (b *logBuffer) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
 // eventsOf returns the events logged for a request, and how many of them were logged
 // later than they happened.
 func (b *logBuffer) eventsOf(t *testing.T, request string) (events []string, earlier int) {
--- a/instance/gateway/stream.go
+++ b/instance/gateway/stream.go
@@ -158,6 +158,9 @@
 	}
 	switch result.Reach {
 	case runner.Answered:
+		if r.promisesFalsely(result.Status) {
+			return append(effects, g.withhold(h, r, "stream", choice, result)...)
+		}
 		r.ran = contract.RanYes
 		if result.Status < 300 {
 			g.recordAnswerBegun(h, r)
