After a call without an answer the store is read on a new connection

Cause: the watch of the configuration ended unanswered, and the read after it went out on another kept connection, as dead as the first. Logs: registry_watch_unanswered at 1.80 s, registry_lost at 2.50, registry_back at 2.90, upstream_changed lapsed at 3.10 and gone at 5.32, on four of five gateways.

Change: a call that gets no whole answer closes the other kept connections to the store.

--- a/internal/soak/descriptors.go
+++ b/internal/soak/descriptors.go
@@ -91,15 +91,11 @@
 		return nil, err
 	}
 	s.servers = append(s.servers, server)
-	addr, err := s.departures.ports.freeAddr()
+	listener, err := s.departures.ports.listen()
 	if err != nil {
 		return nil, err
 	}
-	via, err := newProxyAt(addr, target)
-	if err != nil {
-		return nil, err
-	}
-	return &runnerNode{runner: r, frontProxy: via, phase: phase, ids: []string{id}, server: server}, nil
+	return &runnerNode{runner: r, frontProxy: newProxyOn(listener, target), phase: phase, ids: []string{id}, server: server}, nil
 }
 
 // crowd opens more connections to a gateway than it may accept, and keeps them for a while.
--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -49,8 +49,18 @@
 	return r.lock.Close()
 }
 
-// freeAddr returns a loopback address whose port is free and was not returned before.
+// freeAddr returns a loopback address whose port is free and was not returned before. A process
+// that is being started at the moment may hold the port until it runs.
 func (r *portRange) freeAddr() (string, error) {
+	l, err := r.listen()
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// listen listens on a loopback address whose port was not returned before.
+func (r *portRange) listen() (net.Listener, error) {
 	last := errors.New("all were returned before")
 	for _, n := range rand.Perm(rangePorts) {
 		port := r.lowest + n
@@ -63,7 +73,7 @@
 			last = err
 			continue
 		}
-		return l.Addr().String(), l.Close()
+		return l, nil
 	}
-	return "", fmt.Errorf("soak: no free port: %w", last)
+	return nil, fmt.Errorf("soak: no free port: %w", last)
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -66,7 +66,7 @@
 	}
 	name := gatewayName(number)
 	text := fmt.Sprintf("name = %q\nregion = \"r\"\nzone = \"z\"\ncallers = %q\nreadiness = %q\npeer = %q\nmetrics = %q\nregistry = %q\n"+
-		"peers = [%s]\nmemory = \"%dMB\"\ndescriptors = %d\nshutdown_limit = \"4s\"\n[cold]\nover = %v\nslack = %v\n", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "), gatewayMemoryMB, gatewayDescriptors, coldOver, coldSlack)
+		"peers = [%s]\nmemory = \"%dMB\"\ndescriptors = %d\nshutdown_limit = \"4s\"\n[cold]\nover = %v\nslack = %v\n%s", name, addrs[0], addrs[1], addrs[2], addrs[3], store, strings.Join(peers, ", "), gatewayMemoryMB, gatewayDescriptors, coldOver, coldSlack, o.Changes)
 	p := &process{
 		program:     o.Gateway,
 		settings:    filepath.Join(o.Dir, name+".toml"),
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -28,25 +28,30 @@
 	resumed [directions]chan struct{}
 	// delay applies to each chunk of data.
 	delay time.Duration
-	conns map[net.Conn]struct{}
+	// losing is set while all data is lost. A connection that lost data is dead: it stays open
+	// and carries nothing more, in both directions.
+	losing bool
+	conns  map[net.Conn]struct{}
+	// dead holds the ends of the dead connections.
+	dead map[net.Conn]struct{}
 	// answered holds when the last data of the target was forwarded to a client that had not
 	// closed its connection, by the address that the target sees.
 	answered map[string]time.Time
 }
 
 func newProxy(target string) (*proxy, error) {
-	return newProxyAt("127.0.0.1:0", target)
-}
-
-// newProxyAt returns a proxy that listens at addr.
-func newProxyAt(addr, target string) (*proxy, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{}), answered: make(map[string]time.Time)}
+	return newProxyOn(l, target), nil
+}
+
+// newProxyOn returns a proxy that accepts connections from l.
+func newProxyOn(l net.Listener, target string) *proxy {
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]struct{}), dead: make(map[net.Conn]struct{}), answered: make(map[string]time.Time)}
 	go p.accept()
-	return p, nil
+	return p
 }
 
 func (p *proxy) addr() string { return p.listener.Addr().String() }
@@ -75,8 +80,10 @@
 	both.Go(func() { p.copy(fromTarget, c, upstream) })
 	both.Wait()
 	p.mu.Lock()
-	delete(p.conns, c)
-	delete(p.conns, upstream)
+	for _, end := range []net.Conn{c, upstream} {
+		delete(p.conns, end)
+		delete(p.dead, end)
+	}
 	p.mu.Unlock()
 }
 
@@ -96,7 +103,7 @@
 		if resumed != nil {
 			<-resumed
 		}
-		if n > 0 {
+		if n > 0 && !p.lost(from, to) {
 			if direction == fromTarget && !closedByPeer(to) {
 				p.mu.Lock()
 				p.answered[from.LocalAddr().String()] = time.Now()
@@ -119,6 +126,37 @@
 	}
 }
 
+// lost reports whether data of a connection, given by its ends, is lost.
+func (p *proxy) lost(ends ...net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.losing {
+		for _, end := range ends {
+			p.dead[end] = struct{}{}
+		}
+	}
+	_, dead := p.dead[ends[0]]
+	return dead
+}
+
+// setLosing makes the proxy lose all data from now on, or carry that of connections that have
+// lost none.
+func (p *proxy) setLosing(losing bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.losing = losing
+}
+
+// killOpen makes the connections that are open now dead. New ones work. It returns their number.
+func (p *proxy) killOpen() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.dead[c] = struct{}{}
+	}
+	return len(p.conns) / 2
+}
+
 // closedByPeer reports whether the peer of a connection has closed it, or the connection is
 // closed. It reads nothing, and may be called beside a Read.
 func closedByPeer(c net.Conn) bool {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// Evacuation runs an evacuation of a zone for Duration, beside restarts, in place of the
 	// other faults.
 	Evacuation bool
+	// Changes is the table of that name in the settings of the gateways; empty for none.
+	Changes string
 	// RecoverWithin bounds the time until all gateways serve every kind of request,
 	// at the start and after the last fault; DefaultRecoverWithin if zero.
 	RecoverWithin time.Duration
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,17 +18,24 @@
 	runSeeds(t, append([]uint64{2, 3, 22, 24}, regressions...), Options{Duration: 4 * time.Second, Gateways: 3, Callers: 8})
 }
 
+// buildGateway builds the gateway program and returns its path.
+func buildGateway(t *testing.T) (program string) {
+	t.Helper()
+	program = filepath.Join(t.TempDir(), "trefoil-gateway")
+	build := exec.Command("go", "build", "-o", program, "../../cmd/trefoil-gateway")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v: %s", err, out)
+	}
+	return program
+}
+
 // runSeeds runs seeds against the built gateway program. The time limit for recovery is far
 // above the users' requirement, so that a slow machine does not fail the test.
 func runSeeds(t *testing.T, seeds []uint64, o Options) {
 	if testing.Short() {
 		t.Skip("runs processes")
 	}
-	o.Gateway = filepath.Join(t.TempDir(), "trefoil-gateway")
-	build := exec.Command("go", "build", "-o", o.Gateway, "../../cmd/trefoil-gateway")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build: %v: %s", err, out)
-	}
+	o.Gateway = buildGateway(t)
 	for _, seed := range seeds {
 		o.Seed, o.Dir, o.RecoverWithin = seed, t.TempDir(), 2*time.Minute
 		report, err := Run(t.Context(), o)
--- a/link/httpconn/idle.go
+++ b/link/httpconn/idle.go
@@ -27,8 +27,10 @@
 	Expired CloseReason = iota
 	// PeerClosed: the peer closed it, or sent bytes without a request.
 	PeerClosed
-	// UpstreamLeft: CloseIdle was called for its address.
+	// UpstreamLeft: the server at its address has left, or another one has the address.
 	UpstreamLeft
+	// Suspect: a call on another connection to its address got no answer.
+	Suspect
 	// OverLimit: the pool held more idle connections than it may.
 	OverLimit
 	// Reclaimed: CloseOldestIdle was called.
@@ -38,7 +40,7 @@
 
 // String returns the name used in metrics.
 func (r CloseReason) String() string {
-	return [...]string{"expired", "peer_closed", "upstream_left", "limit", "descriptors"}[r]
+	return [...]string{"expired", "peer_closed", "upstream_left", "suspect", "limit", "descriptors"}[r]
 }
 
 // address holds the connections to one address. It is removed with its last connection.
@@ -48,9 +50,10 @@
 	idle []*conn
 	// open counts the connections, idle and in use.
 	open int
-	// generation rises with each CloseIdle. Connections in use that were opened before are
-	// closed after their exchange.
+	// generation rises with each CloseIdle, for the reason closedFor. Connections in use that
+	// were opened before are closed after their exchange.
 	generation uint64
+	closedFor  CloseReason
 }
 
 // use adds a new connection, which is in use. The lock must be held.
@@ -127,7 +130,7 @@
 		p.closeUsed(c)
 		return
 	case c.generation != c.owner.generation:
-		p.closes[UpstreamLeft]++
+		p.closes[c.owner.closedFor]++
 		p.closeUsed(c)
 		return
 	}
@@ -202,8 +205,8 @@
 }
 
 // CloseIdle closes the idle connections to an address, and those in use after their
-// exchange, because its upstream has left or another one has the address.
-func (p *Pool) CloseIdle(addr string) {
+// exchange.
+func (p *Pool) CloseIdle(addr string, why CloseReason) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	a, ok := p.addrs[addr]
@@ -211,8 +214,9 @@
 		return
 	}
 	a.generation++
+	a.closedFor = why
 	for len(a.idle) > 0 {
-		p.closeIdle(a.idle[len(a.idle)-1], UpstreamLeft)
+		p.closeIdle(a.idle[len(a.idle)-1], why)
 	}
 }
 
--- a/link/httpconn/idle_test.go
+++ b/link/httpconn/idle_test.go
@@ -98,7 +98,7 @@
 			s.leave()
 			// Half of them are known to have left; the others just close their connections.
 			if i%2 == 0 {
-				p.CloseIdle(s.addr)
+				p.CloseIdle(s.addr, UpstreamLeft)
 			}
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -157,7 +157,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p.CloseIdle(s.addr)
+	p.CloseIdle(s.addr, UpstreamLeft)
 	if _, err := io.ReadAll(resp.Body); err != nil {
 		t.Errorf("the exchange was cut: %v", err)
 	}
