The watch of the list ends before the first removal after lost connections is due

Requests reached runners up to 3.8 s after they had left (bound 2 s) when connections to the store had gone silent and the runner left within a second, once all gateways were in touch again.

Cause: the wait of the watch was derived from the latest moment of a removal, three seconds after an outage, so that it ended 4.0 s after the watch was sent. Where only connections are lost the store is sound, a removal counts at once and is due after three seconds.

Change: both watches follow from one formula, the longer of the bound and the time after an outage, less the slack of the watch and the read after it, whose time includes decoding and the wait for a worker. The expected waits in TestWatchTimeout become shorter, as the bound becomes stricter.

--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -27,9 +27,9 @@
 	// Config and Upstreams are those of the configuration and of the list of upstreams,
 	// counted from the registry's acknowledgement; 0 for no bound.
 	Config, Upstreams time.Duration
-	// Settle is how long after an outage of the registry they hold again. A configuration
-	// that was acknowledged before that must be in force then, or after Config if that is
-	// later; an upstream that left before that counts as having left then.
+	// Settle is how long after an outage of the registry, or of connections to it, they hold
+	// again. A change that was acknowledged before that must be in force then, or after its
+	// bound if that is later.
 	Settle time.Duration
 }
 
@@ -39,26 +39,28 @@
 // the first change after the outage is due. lastRead is the time that the last configuration
 // took to arrive and be decoded.
 func (b ChangeBounds) configWatchTimeout(lastRead time.Duration) time.Duration {
-	return watchTimeout(b.Config, max(b.Config, b.Settle), max(ReadTimeout, readMargin*lastRead/100))
+	return watchTimeout(b.Config, b.Settle, max(ReadTimeout, readMargin*lastRead/100))
 }
 
 // upstreamsWatchTimeout is like configWatchTimeout for the list of upstreams, of which a read
-// brings only the changes.
+// brings only the changes. A removal is acknowledged at any time after connections went silent,
+// since the registry itself is sound.
 func (b ChangeBounds) upstreamsWatchTimeout() time.Duration {
-	return watchTimeout(b.Upstreams, b.Upstreams+b.Settle, ReadTimeout)
+	return watchTimeout(b.Upstreams, b.Settle, ReadTimeout)
 }
 
 // readMargin is the time that is kept for the next configuration, in percent of the last one.
 const readMargin = 150
 
-// watchTimeout returns how long a watch may wait if the first change that it misses is due at
-// the earliest due after it was sent, and the read after it takes the time read; WatchTimeout if
-// bound is 0.
-func watchTimeout(bound, due, read time.Duration) time.Duration {
+// watchTimeout returns how long a watch may wait, WatchTimeout if bound is 0. A change that is
+// acknowledged right after the watch was lost is due after the longer of bound and settle. In
+// that time the watch ends, WatchSlack later, and the read after it takes the time read, which
+// includes decoding and the wait of steps for a worker: the read itself ends after WatchSlack.
+func watchTimeout(bound, settle, read time.Duration) time.Duration {
 	if bound <= 0 {
 		return WatchTimeout
 	}
-	return min(WatchTimeout, max(minWatchTimeout, due-WatchSlack-read))
+	return min(WatchTimeout, max(minWatchTimeout, max(bound, settle)-WatchSlack-read))
 }
 
 // errUnanswered means that a watch got no answer, not even that nothing has changed. It may
--- a/instance/gateway/watch_test.go
+++ b/instance/gateway/watch_test.go
@@ -126,6 +126,41 @@
 	}
 }
 
+// TestRemovalRightAfterLostWatch guards against requests to an upstream that left right after
+// connections to the registry had gone silent, which lost the watch of the list while the
+// registry itself was sound: the watch ended when the removal was due if it had come later.
+func TestRemovalRightAfterLostWatch(t *testing.T) {
+	const lost = WatchPause + 20*time.Millisecond
+	for _, bounds := range []ChangeBounds{
+		testBounds,
+		{Config: 3 * time.Second, Upstreams: 3 * time.Second, Settle: 4 * time.Second},
+		{Config: 4 * time.Second, Upstreams: 4 * time.Second, Settle: 2 * time.Second},
+	} {
+		for _, removal := range []time.Duration{time.Millisecond, 350 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second} {
+			t.Run(fmt.Sprint(bounds.Upstreams, bounds.Settle, removal), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := testFleet()
+					f.changes = bounds
+					g := f.start(t, "g1")
+					defer g.Close()
+					synctest.Wait()
+					f.registry.change(func() {
+						f.registry.config = testConfig(2)
+						f.registry.silent = true
+					})
+					time.Sleep(lost)
+					f.registry.setSilent(false)
+					time.Sleep(removal)
+					f.registry.change(func() { delete(f.registry.list, "s1") })
+					time.Sleep(max(bounds.Settle-removal, bounds.Upstreams))
+					synctest.Wait()
+					checkNotCalled(t, f, g, "s1")
+				})
+			})
+		}
+	}
+}
+
 // TestUnansweredWatchIsNoOutage guards against a lost watch that counts as an outage of the
 // registry when the read after it is answered: an upstream that left meanwhile would be taken
 // for one whose registration lapsed, and kept.
@@ -158,14 +193,14 @@
 func TestWatchTimeout(t *testing.T) {
 	for _, c := range []struct{ bound, settle, lastRead, config, upstreams time.Duration }{
 		{0, 3 * time.Second, 0, WatchTimeout, WatchTimeout},
-		{2 * time.Second, 3 * time.Second, 0, 1300 * time.Millisecond, 3300 * time.Millisecond},
-		{3 * time.Second, 4 * time.Second, 0, 2300 * time.Millisecond, 5300 * time.Millisecond},
-		{4 * time.Second, 2 * time.Second, 0, 2300 * time.Millisecond, 4300 * time.Millisecond},
+		{2 * time.Second, 3 * time.Second, 0, 1300 * time.Millisecond, 1300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 0, 2300 * time.Millisecond, 2300 * time.Millisecond},
+		{4 * time.Second, 2 * time.Second, 0, 2300 * time.Millisecond, 2300 * time.Millisecond},
 		{time.Minute, 0, 0, WatchTimeout, WatchTimeout},
 		{time.Second, 0, 0, minWatchTimeout, minWatchTimeout},
-		{3 * time.Second, 4 * time.Second, 600 * time.Millisecond, 2300 * time.Millisecond, 5300 * time.Millisecond},
-		{3 * time.Second, 4 * time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond, 5300 * time.Millisecond},
-		{3 * time.Second, 4 * time.Second, 5 * time.Second, minWatchTimeout, 5300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 600 * time.Millisecond, 2300 * time.Millisecond, 2300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 1200 * time.Millisecond, 1500 * time.Millisecond, 2300 * time.Millisecond},
+		{3 * time.Second, 4 * time.Second, 5 * time.Second, minWatchTimeout, 2300 * time.Millisecond},
 	} {
 		bounds := ChangeBounds{Config: c.bound, Upstreams: c.bound, Settle: c.settle}
 		if got := bounds.configWatchTimeout(c.lastRead); got != c.config {
--- a/internal/soak/storeoutage_test.go
+++ b/internal/soak/storeoutage_test.go
@@ -60,6 +60,9 @@
 		{watchBefore: 900 * ms, configBefore: 60 * ms, length: 55 * ms, leavesAfter: settleTime},
 		{watchBefore: 900 * ms, configBefore: 205 * ms, length: 200 * ms, leavesAfter: settleTime},
 		{watchBefore: 900 * ms, configBefore: 205 * ms, length: 200 * ms, leavesAfter: settleTime + 60*ms},
+		{watchBefore: 50 * ms, leavesAfter: 100 * ms},
+		{watchBefore: 50 * ms, leavesAfter: 350 * ms},
+		{watchBefore: 50 * ms, leavesAfter: 900 * ms},
 		{watchBefore: 900 * ms, configBefore: 205 * ms, leavesAfter: settleTime},
 	} {
 		o.restart = i%2 == 1
