A watch whose connection breaks is no outage of the registry

The store closes the connection of a watch and is sound; an upstream that leaves within 0.7 s after it got requests for up to 2.9 s.

Cause: any failed watch but an unanswered one counted as an outage, in which a registration may lapse; the read 0.4 s later ended the outage and found the removal.

Change: after a watch whose connection broke the gateway reads at once, as after one without an answer. Only a failure of that read is an outage. Refusals and connections that cannot be opened count as before.

--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -286,6 +287,8 @@
 type fakeRegistry struct {
 	mu      sync.Mutex
 	changed chan struct{}
+	// broken is closed and replaced by breakWatches.
+	broken  chan struct{}
 	version uint64
 	config  *directory.Snapshot
 	list    map[upstream.ID]registry.Record
@@ -301,7 +304,7 @@
 }
 
 func newFakeRegistry(s *directory.Snapshot, records ...registry.Record) *fakeRegistry {
-	f := &fakeRegistry{changed: make(chan struct{}), version: 1, config: s, list: make(map[upstream.ID]registry.Record)}
+	f := &fakeRegistry{changed: make(chan struct{}), broken: make(chan struct{}), version: 1, config: s, list: make(map[upstream.ID]registry.Record)}
 	for _, r := range records {
 		f.list[r.ID] = r
 	}
@@ -326,6 +329,14 @@
 	f.version++
 }
 
+// breakWatches breaks the connections of the watches that wait now.
+func (f *fakeRegistry) breakWatches() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.broken)
+	f.broken = make(chan struct{})
+}
+
 func (f *fakeRegistry) setSilent(silent bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -334,7 +345,7 @@
 
 func (f *fakeRegistry) wait(ctx context.Context, after uint64, wait time.Duration) error {
 	f.mu.Lock()
-	changed, version, down, silent := f.changed, f.version, f.down, f.silent
+	changed, broken, version, down, silent := f.changed, f.broken, f.version, f.down, f.silent
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -349,6 +360,8 @@
 	select {
 	case <-changed:
 	case <-time.After(wait):
+	case <-broken:
+		return fmt.Errorf("%w: connection reset", registry.ErrNoAnswer)
 	case <-ctx.Done():
 		return context.Cause(ctx)
 	}
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -64,7 +64,8 @@
 }
 
 // errUnanswered means that a watch got no answer, not even that nothing has changed. It may
-// have been lost in an outage that is over; a read shows whether the registry is down now.
+// have been lost in an outage that is over, or with its connection alone; a read shows whether
+// the registry is down now.
 var errUnanswered = errors.New("gateway: no answer to a watch")
 
 // wholeReadError returns the error of a read that has no starting version. Without the history
@@ -78,9 +79,9 @@
 }
 
 // watchError returns the error of a call that waited for changes for the time waited, wrapped
-// in errUnanswered if its context ended before the answer.
+// in errUnanswered if its context ended before the answer or its connection broke.
 func watchError(ctx context.Context, waited time.Duration, err error) error {
-	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+	if err != nil && (errors.Is(context.Cause(ctx), context.DeadlineExceeded) || errors.Is(err, registry.ErrNoAnswer)) {
 		return fmt.Errorf("%w after %v: %w", errUnanswered, waited.Round(time.Millisecond), err)
 	}
 	return err
--- a/instance/gateway/watch_test.go
+++ b/instance/gateway/watch_test.go
@@ -189,6 +189,28 @@
 	})
 }
 
+// TestBrokenWatchIsNoOutage is the same for watches whose connections the registry closed: the
+// removal of an upstream takes effect as soon as at any other time.
+func TestBrokenWatchIsNoOutage(t *testing.T) {
+	for _, removal := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 350 * time.Millisecond} {
+		t.Run(fmt.Sprint(removal), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := testFleet()
+				f.changes = testBounds
+				g := f.start(t, "g1")
+				defer g.Close()
+				time.Sleep(time.Second)
+				f.registry.breakWatches()
+				time.Sleep(removal)
+				f.registry.change(func() { delete(f.registry.list, "s1") })
+				time.Sleep(WatchPause)
+				synctest.Wait()
+				checkNotCalled(t, f, g, "s1")
+			})
+		})
+	}
+}
+
 // TestWatchTimeout checks the waits that follow from the bounds of deployments.
 func TestWatchTimeout(t *testing.T) {
 	for _, c := range []struct{ bound, settle, lastRead, config, upstreams time.Duration }{
--- a/link/registry/registry.go
+++ b/link/registry/registry.go
@@ -20,6 +20,9 @@
 	// ErrHistoryGone means that the store no longer has the changes after a
 	// version, so that the caller has to read the full state.
 	ErrHistoryGone = errors.New("registry: change history is no longer available")
+	// ErrNoAnswer means that a call got no answer: its connection broke or carried nothing
+	// more.
+	ErrNoAnswer = errors.New("registry: no answer")
 	// ErrConflict means that a row does not have the expected version; nothing was
 	// written.
 	ErrConflict = errors.New("registry: version conflict")
