Entries and sidecars too call the platform on a new connection after one without an answer

Change: a call that ends at its deadline closes the kept connections.

Result: link/platform/rest TestCallAfterSilenceUsesNewConnection failed before.

--- a/link/platform/rest/client.go
+++ b/link/platform/rest/client.go
@@ -74,6 +74,14 @@
 	c.http.CloseIdleConnections()
 }
 
+// closeSuspect closes the kept connections after a call that got no answer in its time:
+// connections go silent together, and one that was not used meanwhile does not show it.
+func (c *Client) closeSuspect(ctx context.Context) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		c.http.CloseIdleConnections()
+	}
+}
+
 // returnRedirect makes net/http return a redirect as the response, so that a call is not sent a second time to
 // another server.
 func returnRedirect(*http.Request, []*http.Request) error {
@@ -105,6 +113,7 @@
 	defer resp.Body.Close()
 	body, err := httpconn.ReadAtMost(progress.Reader(ctx, resp.Body), maxReply)
 	if err != nil {
+		c.closeSuspect(ctx)
 		return nil, fmt.Errorf("%w: %w", lostOrUnavailable(q.write), err)
 	}
 	return body, nil
@@ -128,6 +137,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.closeSuspect(ctx)
 		// Without a connection nothing was sent.
 		return nil, fmt.Errorf("%w: %w", lostOrUnavailable(q.write && connected.Load()), err)
 	}
