--- a/internal/soak/storeoutage_test.go
+++ b/internal/soak/storeoutage_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -71,6 +73,34 @@
 	return all
 }
 
+// More outages can be played by hand.
+var (
+	outageCount = flag.Int("outages", 0, "number of random outages of the store to play besides the usual ones")
+	outageSeed  = flag.Uint64("outage-seed", 1, "seed of the random outages")
+)
+
+// randomOutages returns outages at random moments.
+func randomOutages(seed uint64, n int) (all []storeOutage) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	upTo := func(most time.Duration) time.Duration {
+		return time.Duration(random.Int64N(int64(most))).Round(time.Millisecond)
+	}
+	for range n {
+		o := storeOutage{watchBefore: upTo(3500 * time.Millisecond), restart: random.IntN(2) == 0, leavesAfter: settleTime + upTo(500*time.Millisecond)}
+		switch lengths := []time.Duration{0, 50 * time.Millisecond, 200 * time.Millisecond, time.Second, 2 * time.Second, 4500 * time.Millisecond}; random.IntN(3) {
+		case 0:
+			o.leavesAfter = upTo(settleTime)
+		default:
+			o.length = lengths[1+random.IntN(len(lengths)-1)]
+		}
+		if random.IntN(2) == 0 {
+			o.configBefore = o.length + 5*time.Millisecond + upTo(300*time.Millisecond)
+		}
+		all = append(all, o)
+	}
+	return all
+}
+
 // TestRunnerThatLeavesAfterStoreOutage guards against requests to a runner that left over two
 // seconds before, when a watch or connections were lost in an outage of the link to the store.
 // It runs gateways as processes on the real clock, with all kinds of requests.
@@ -82,7 +112,7 @@
 	const atOnce = 6
 	places := make(chan struct{}, atOnce)
 	var all sync.WaitGroup
-	for i, o := range storeOutages() {
+	for i, o := range append(storeOutages(), randomOutages(*outageSeed, *outageCount)...) {
 		all.Go(func() {
 			places <- struct{}{}
 			defer func() { <-places }()
