--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -29,7 +29,8 @@
 	do   func(s *soak)
 }
 
-// faults are the disturbances that a run chooses from. Report.Faults holds the names:
+// faults are the disturbances that a run chooses from. A runner that "loses answers" also fails
+// requests after it has run them. Report.Faults holds the names:
 // "hang up" sends SIGHUP, which reloads the settings; "store away" and "store back" make the
 // store unavailable and available; "store heard" and "runner heard" end all faults of the
 // link; "runner is sound" ends the faults of the runner.
@@ -55,7 +56,9 @@
 	{"runner slow", func(s *soak) { s.randomRunner().disturbLink().setDelay(s.randomDelay()) }},
 	{"runner heard", func(s *soak) { s.randomRunner().healLink() }},
 	{"runner rejects", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Reject: 0.5}) }},
-	{"runner loses answers", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3}) }},
+	{"runner loses answers", func(s *soak) {
+		s.randomRunner().runner.SetFaults(userplatform.Faults{Lose: 0.3, FailAfterRun: 0.3})
+	}},
 	{"runner breaks off", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Break: 0.5}) }},
 	{"runner sends without end", func(s *soak) { s.randomRunner().runner.SetFaults(userplatform.Faults{Endless: 0.3}) }},
 	{"peer sends without end", func(s *soak) { go floodPeer(s.randomGateway().peerAddr) }},
--- a/internal/standin/userplatform/runner.go
+++ b/internal/standin/userplatform/runner.go
@@ -89,6 +89,9 @@
 	// connection breaks before a given event. Endless answers with bytes that never end;
 	// a request so answered was run.
 	Reject, Lose, Break, Endless float64
+	// FailAfterRun answers 503 after a request is recorded as run, without the statement that
+	// it has not run.
+	FailAfterRun float64
 	// Pause turns a request away and asks for a pause of PauseFor.
 	Pause    float64
 	PauseFor time.Duration
@@ -216,6 +219,10 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.Header().Set("Server-Signature", "s-"+id)
+		if faults.FailAfterRun > 0 && r.draw(func(f Faults) float64 { return f.FailAfterRun }) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		r.run(w, q, string(body))
 	}
 }
