--- a/internal/soak/storeoutage_test.go
+++ b/internal/soak/storeoutage_test.go
@@ -46,6 +46,12 @@
 	restart bool
 }
 
+// String describes the outage in messages of tests.
+func (o storeOutage) String() string {
+	return fmt.Sprintf("outage of %v, watches sent %v and %v (0 for none) before its end, runner leaves %v after it, restart %v",
+		o.length, o.watchBefore, o.configBefore, o.leavesAfter, o.restart)
+}
+
 // watchPause is the pause of gateways between a change of the list and the next watch.
 const watchPause = 300 * time.Millisecond
 
@@ -116,15 +122,14 @@
 		all.Go(func() {
 			places <- struct{}{}
 			defer func() { <-places }()
-			name := fmt.Sprintf("%+v", o)
-			playStoreOutage(t, program, name, uint64(i+1), o)
+			playStoreOutage(t, program, uint64(i+1), o)
 		})
 	}
 	all.Wait()
 }
 
 // playStoreOutage plays an outage once for each kind of runner, on a deployment of its own.
-func playStoreOutage(t *testing.T, program, name string, seed uint64, o storeOutage) {
+func playStoreOutage(t *testing.T, program string, seed uint64, o storeOutage) {
 	s := &soak{
 		options:  Options{Gateway: program, Seed: seed, Gateways: 5, Callers: 10, Dir: t.TempDir(), Changes: outageChanges, RecoverWithin: 2 * time.Minute},
 		store:    userplatform.NewStore(),
@@ -142,11 +147,11 @@
 	defer func() { _ = ports.close() }()
 	defer s.end()
 	if err := s.start(ports); err != nil {
-		t.Errorf("%s: %v", name, err)
+		t.Errorf("%v: %v", o, err)
 		return
 	}
 	if !s.awaitServing(t.Context()) {
-		t.Errorf("%s: %v", name, s.notServing())
+		t.Errorf("%v: %v", o, s.notServing())
 		return
 	}
 	callersCtx, stop := context.WithCancel(t.Context())
@@ -158,21 +163,21 @@
 		if phase := s.runners[i].phase; i > 0 && phase == s.runners[i-1].phase {
 			continue // one of each kind
 		}
-		s.playDeparture(t, name, i, o)
+		s.playDeparture(t, i, o)
 	}
 	stop()
 	callers.Wait()
 }
 
 // playDeparture plays an outage before the runner with the given number leaves.
-func (s *soak) playDeparture(t *testing.T, name string, number int, o storeOutage) {
+func (s *soak) playDeparture(t *testing.T, number int, o storeOutage) {
 	ctx := t.Context()
 	if o.restart {
 		for _, g := range s.gateways {
 			g.signalEnd(true)
 		}
 		if !s.awaitServing(ctx) {
-			t.Errorf("%s: %v", name, s.notServing())
+			t.Errorf("%v: %v", o, s.notServing())
 			return
 		}
 	}
@@ -211,17 +216,23 @@
 	clock.Wait(ctx, drainWithin+2500*time.Millisecond)
 	old.exit()
 	calm := end.Add(settleTime)
-	late, last := 0, time.Duration(0)
+	before, late, last := 0, 0, time.Duration(0)
 	for _, v := range s.ledger.Visits() {
 		s.mu.Lock()
 		sentAt := s.requests[v.Request].sentAt
 		s.mu.Unlock()
+		if v.Runner == old.id() && v.At.Before(left) {
+			before++
+		}
 		if v.Runner == old.id() && v.At.After(left.Add(drainWithin)) && sentAt.After(calm) {
 			late, last = late+1, v.At.Sub(left)
 		}
 	}
+	if before == 0 {
+		t.Errorf("%v: no request reached runner %s (%q) before it left", o, old.id(), old.phase)
+	}
 	if late > 0 {
-		t.Errorf("%s: %d requests reached runner %s (%q), the last one %v after it had left; %d connections to the store were open", name, late, old.id(), old.phase, last.Round(time.Millisecond), open)
+		t.Errorf("%v: %d requests reached runner %s (%q), the last one %v after it had left; %d connections to the store were open", o, late, old.id(), old.phase, last.Round(time.Millisecond), open)
 		s.logRegistryLines(t, end)
 	}
 }
