--- a/internal/soak/descriptors.go
+++ b/internal/soak/descriptors.go
@@ -50,16 +50,12 @@
 func (s *soak) replaceRunner() {
 	i := s.random.IntN(len(s.runners))
 	old := s.runners[i]
-	s.departures.count++
-	id := fmt.Sprintf("n-%d", s.departures.count)
-	r := userplatform.NewRunner(id, old.phase, s.ledger, s.options.Seed+uint64(100+s.departures.count))
-	node, err := s.startRunner(r, old.phase, id)
+	node, err := s.startSuccessor(old)
 	if err == nil {
-		node.zone = old.zone
 		err = s.register(node)
 	}
 	if err != nil {
-		s.failCheck("runner %s was not started: %v", id, err)
+		s.failCheck("the successor of runner %s was not started: %v", old.id(), err)
 		return
 	}
 	s.runners[i] = node
@@ -76,6 +72,18 @@
 	})
 }
 
+// startSuccessor starts a runner that takes the place of another one, and does not register it.
+func (s *soak) startSuccessor(old *runnerNode) (*runnerNode, error) {
+	s.departures.count++
+	id := fmt.Sprintf("n-%d", s.departures.count)
+	r := userplatform.NewRunner(id, old.phase, s.ledger, s.options.Seed+uint64(100+s.departures.count))
+	node, err := s.startRunner(r, old.phase, id)
+	if err == nil {
+		node.zone = old.zone
+	}
+	return node, err
+}
+
 // exit closes the runner's address and then its connections, as the end of a process does:
 // the gateways' ends stay open until they close them.
 func (r *runnerNode) exit() {
--- a/internal/soak/storeoutage_test.go
+++ b/internal/soak/storeoutage_test.go
@@ -182,7 +182,7 @@
 		}
 	}
 	old := s.runners[number]
-	next, err := s.successor(old)
+	next, err := s.startSuccessor(old)
 	if err != nil {
 		t.Error(err)
 		return
@@ -262,15 +262,3 @@
 	at, err := time.Parse("2006-01-02T15:04:05.000000Z07:00", text)
 	return at, ok && err == nil
 }
-
-// successor starts a runner that takes the place of another one, and does not register it.
-func (s *soak) successor(old *runnerNode) (*runnerNode, error) {
-	s.departures.count++
-	id := fmt.Sprintf("n-%d", s.departures.count)
-	r := userplatform.NewRunner(id, old.phase, s.ledger, s.options.Seed+uint64(100+s.departures.count))
-	node, err := s.startRunner(r, old.phase, id)
-	if err == nil {
-		node.zone = old.zone
-	}
-	return node, err
-}
