A registry that breaks each watch at once is not asked without end

Change: the read after a watch that lasted less than the pause after a failed call waits for the rest of it.

--- a/instance/gateway/fakes_test.go
+++ b/instance/gateway/fakes_test.go
@@ -287,18 +287,21 @@
 type fakeRegistry struct {
 	mu      sync.Mutex
 	changed chan struct{}
-	// broken is closed and replaced by breakWatches.
-	broken  chan struct{}
-	version uint64
-	config  *directory.Snapshot
-	list    map[upstream.ID]registry.Record
-	entries []registry.Entry
-	demand  map[directory.ServiceName]demand.Tally
-	bans    []quarantine.BanNote
-	lease   registry.Lease
-	leaseAt time.Time
-	down    bool
-	silent  bool
+	// broken is closed and replaced by breakWatches. While breaking is set, watches break at
+	// once; waits counts all calls that may wait.
+	broken   chan struct{}
+	breaking bool
+	waits    int
+	version  uint64
+	config   *directory.Snapshot
+	list     map[upstream.ID]registry.Record
+	entries  []registry.Entry
+	demand   map[directory.ServiceName]demand.Tally
+	bans     []quarantine.BanNote
+	lease    registry.Lease
+	leaseAt  time.Time
+	down     bool
+	silent   bool
 	// evacuations are the rows of evacuated zones.
 	evacuations evacuationRows
 }
@@ -345,7 +348,8 @@
 
 func (f *fakeRegistry) wait(ctx context.Context, after uint64, wait time.Duration) error {
 	f.mu.Lock()
-	changed, broken, version, down, silent := f.changed, f.broken, f.version, f.down, f.silent
+	f.waits++
+	changed, broken, breaking, version, down, silent := f.changed, f.broken, f.breaking, f.version, f.down, f.silent
 	f.mu.Unlock()
 	if silent {
 		<-ctx.Done()
@@ -357,6 +361,9 @@
 	if version > after || wait == 0 {
 		return nil
 	}
+	if breaking {
+		return fmt.Errorf("%w: connection reset", registry.ErrNoAnswer)
+	}
 	select {
 	case <-changed:
 	case <-time.After(wait):
--- a/instance/gateway/registry.go
+++ b/instance/gateway/registry.go
@@ -112,9 +112,9 @@
 		g.log.Info(string(eventHistoryGone), "what", feedConfig.String())
 		return g.readConfig(h)
 	}
-	if errors.Is(err, errUnanswered) {
+	if lost := (*unansweredError)(nil); errors.As(err, &lost) {
 		g.log.Info(string(eventWatchUnanswered), "what", feedConfig.String(), "error", err)
-		return g.pollConfig(h)
+		return g.pollAfter(h, lost, g.pollConfig)
 	}
 	g.recordFeedResult(h, feedConfig, err)
 	if err != nil {
@@ -219,9 +219,9 @@
 		g.log.Info(string(eventHistoryGone), "what", feedUpstreams.String())
 		return g.readUpstreams(h)
 	}
-	if errors.Is(err, errUnanswered) {
+	if lost := (*unansweredError)(nil); errors.As(err, &lost) {
 		g.log.Info(string(eventWatchUnanswered), "what", feedUpstreams.String(), "error", err)
-		return g.pollUpstreams(h)
+		return g.pollAfter(h, lost, g.pollUpstreams)
 	}
 	g.recordFeedResult(h, feedUpstreams, err)
 	if err != nil {
--- a/instance/gateway/watch.go
+++ b/instance/gateway/watch.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/trefoilwalk/trefoilwalk/instance/pool"
+	"github.com/trefoilwalk/trefoilwalk/instance/table"
 	"github.com/trefoilwalk/trefoilwalk/link/registry"
 )
 
@@ -43,7 +45,7 @@
 }
 
 // upstreamsWatchTimeout is like configWatchTimeout for the list of upstreams, of which a read
-// brings only the changes. A removal is acknowledged at any time after connections went silent,
+// brings only the changes. A removal may be acknowledged right after connections went silent,
 // since the registry itself is sound.
 func (b ChangeBounds) upstreamsWatchTimeout() time.Duration {
 	return watchTimeout(b.Upstreams, b.Settle, ReadTimeout)
@@ -63,10 +65,32 @@
 	return min(WatchTimeout, max(minWatchTimeout, max(bound, settle)-WatchSlack-read))
 }
 
-// errUnanswered means that a watch got no answer, not even that nothing has changed. It may
+// unansweredError means that a watch got no answer, not even that nothing has changed. It may
 // have been lost in an outage that is over, or with its connection alone; a read shows whether
 // the registry is down now.
-var errUnanswered = errors.New("gateway: no answer to a watch")
+type unansweredError struct {
+	// waited is how long the watch lasted.
+	waited time.Duration
+	err    error
+}
+
+// Error implements error.
+func (e *unansweredError) Error() string {
+	return fmt.Sprintf("gateway: no answer to a watch after %v: %v", e.waited.Round(time.Millisecond), e.err)
+}
+
+// Unwrap returns the error of the call.
+func (e *unansweredError) Unwrap() error { return e.err }
+
+// pollAfter reads once a watch got no answer: at once, or after ReadRetryDelay from the send of a
+// watch that broke before, so that a registry which breaks all of them is not asked without end.
+func (g *Gateway) pollAfter(h *table.HeldLocks, lost *unansweredError, poll pool.Step) []pool.Effect {
+	if lost.waited < ReadRetryDelay {
+		g.pool.After(ReadRetryDelay-lost.waited, poll)
+		return nil
+	}
+	return poll(h)
+}
 
 // wholeReadError returns the error of a read that has no starting version. Without the history
 // that it does not need, the registry has contradicted itself: the read is tried again after a
@@ -78,11 +102,11 @@
 	return err
 }
 
-// watchError returns the error of a call that waited for changes for the time waited, wrapped
-// in errUnanswered if its context ended before the answer or its connection broke.
+// watchError returns the error of a call that waited for changes for the time waited: an
+// unansweredError if its context ended before the answer or its connection broke.
 func watchError(ctx context.Context, waited time.Duration, err error) error {
 	if err != nil && (errors.Is(context.Cause(ctx), context.DeadlineExceeded) || errors.Is(err, registry.ErrNoAnswer)) {
-		return fmt.Errorf("%w after %v: %w", errUnanswered, waited.Round(time.Millisecond), err)
+		return &unansweredError{waited, err}
 	}
 	return err
 }
--- a/instance/gateway/watch_test.go
+++ b/instance/gateway/watch_test.go
@@ -211,6 +211,29 @@
 	}
 }
 
+// TestWatchesThatBreakAtOnce guards against a gateway that asks without a pause while the registry
+// answers reads and breaks the connections of all watches.
+func TestWatchesThatBreakAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := testFleet()
+		f.changes = testBounds
+		g := f.start(t, "g1")
+		defer g.Close()
+		time.Sleep(time.Second)
+		f.registry.mu.Lock()
+		f.registry.breaking, f.registry.waits = true, 0
+		f.registry.mu.Unlock()
+		const lasts = 10 * time.Second
+		time.Sleep(lasts)
+		f.registry.mu.Lock()
+		defer f.registry.mu.Unlock()
+		// Each of the two watches and the read after it take ReadRetryDelay at least.
+		if most := 2 * 2 * int(lasts/ReadRetryDelay+1); f.registry.waits > most {
+			t.Errorf("%d calls in %v, want at most %d", f.registry.waits, lasts, most)
+		}
+	})
+}
+
 // TestWatchTimeout checks the waits that follow from the bounds of deployments.
 func TestWatchTimeout(t *testing.T) {
 	for _, c := range []struct{ bound, settle, lastRead, config, upstreams time.Duration }{
